Serve an OpenAPI description through the same core, with stories for both fronts

internal/openapi reads routes, classes, unit guesses and retry classes from a description (kin-openapi) and refuses it whole where an operation states no cost. internal/service puts either front together; the second one is off unless the configuration has an openapi key, as deploy/operator.json does.

The decision module had no way to change its classes: it now has SetClasses, in state.go, which leaves requests under way their terms and held ones their rank. policy.go is untouched.

A probe of one refusal: a gatekeeper just born throttles a customer with a ceiling, since the module fills its part of the ceiling from nothing (policy.go, customer()); that is the module's design and stays.

--- a/cmd/foxwood/main.go
+++ b/cmd/foxwood/main.go
@@ -1,15 +1,15 @@
-// Command foxwood is a gatekeeper on the platform.
+// Command foxwood is a gatekeeper. EDGE_CONFIG names its configuration.
 package main
 
 import (
 	"log"
 
-	"foxwood/internal/platform"
+	"foxwood/internal/service"
 )
 
 func main() {
 	log.SetFlags(log.LUTC | log.Ltime | log.Lmicroseconds)
-	if err := platform.Run(); err != nil {
+	if err := service.Run(); err != nil {
 		log.Fatalf("foxwood: %v", err)
 	}
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -23,8 +23,9 @@
 
 // Answer is what a worker said to an execution that served its request.
 type Answer struct {
-	Body []byte
-	Type []byte // the media type, where the wire has one
+	Status int    // as the wire numbers them, 0 for the ordinary one
+	Head   []byte // whole header lines to pass on
+	Body   []byte
 }
 
 // Fleet carries executions to the workers. It reports the end of each with
@@ -258,6 +259,12 @@
 	g.enter(func(now policy.Micros) { g.decide.Servers(now, g, kind, entries) })
 }
 
+// SetClasses replaces the table of request classes. Requests taken before keep the
+// terms they came with.
+func (g *Gatekeeper) SetClasses(classes []policy.Class) {
+	g.enter(func(now policy.Micros) { g.decide.SetClasses(now, g, classes) })
+}
+
 // Ready tells whether there is a worker to serve with.
 func (g *Gatekeeper) Ready() bool { return g.readyCount > 0 }
 
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,113 @@
+package http1
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// got is what a message says, in plain strings.
+type got struct {
+	Line, Body string
+	Close      bool
+	Err        int
+}
+
+// feed gives text to a parser in pieces of n bytes, and reads every message.
+func feed(p *Parser, text string, n int) []got {
+	var all []got
+	for b := []byte(text); len(b) > 0; {
+		taken, done, err := p.Feed(b[:min(n, len(b))])
+		b = b[taken:]
+		m := p.Message()
+		line := string(m.Method) + " " + string(m.Target)
+		if p.answers {
+			line = strings.Repeat("x", m.Status/100)
+		}
+		var fault *Error
+		if errors.As(err, &fault) {
+			return append(all, got{Err: fault.Status})
+		}
+		if done {
+			all = append(all, got{Line: line, Body: string(m.Body), Close: m.Close})
+			p.Reset()
+		}
+	}
+	return all
+}
+
+const host = "Host: a\r\n"
+
+func TestMessagesReadTheSameInAnyPieces(t *testing.T) {
+	long := strings.Repeat("x", MaxBody+1)
+	for name, c := range map[string]struct {
+		text    string
+		answers bool
+		want    []got
+	}{
+		"two in a row": {text: "GET /a HTTP/1.1\r\n" + host + "\r\nPOST /b HTTP/1.1\r\n" + host + "Content-Length: 3\r\n\r\nxyz",
+			want: []got{{Line: "GET /a"}, {Line: "POST /b", Body: "xyz"}}},
+		"chunked": {text: "POST /b HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3;e=1\r\nxyz\r\n0\r\nT: 1\r\n\r\n",
+			want: []got{{Line: "POST /b", Body: "xyz"}}},
+		"closing":              {text: "GET / HTTP/1.1\r\n" + host + "Connection: x, close\r\n\r\n", want: []got{{Line: "GET /", Close: true}}},
+		"of HTTP/1.0":          {text: "GET / HTTP/1.0\r\n\r\n", want: []got{{Line: "GET /", Close: true}}},
+		"interim answer":       {text: "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny", answers: true, want: []got{{Line: "xx", Body: "y"}}},
+		"answer without body":  {text: "HTTP/1.1 204 N\r\n\r\n", answers: true, want: []got{{Line: "xx"}}},
+		"length and chunks":    {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", want: []got{{Err: 400}}},
+		"two lengths":          {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", want: []got{{Err: 400}}},
+		"signed length":        {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: +3\r\n\r\n", want: []got{{Err: 400}}},
+		"signed chunk":         {text: "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n+3\r\n", want: []got{{Err: 400}}},
+		"other coding":         {text: "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n", want: []got{{Err: 501}}},
+		"no host":              {text: "GET / HTTP/1.1\r\n\r\n", want: []got{{Err: 400}}},
+		"two hosts":            {text: "GET / HTTP/1.1\r\n" + host + host + "\r\n", want: []got{{Err: 400}}},
+		"space before a colon": {text: "GET / HTTP/1.1\r\nHost : a\r\n\r\n", want: []got{{Err: 400}}},
+		"folded field":         {text: "GET / HTTP/1.1\r\n" + host + " b: c\r\n\r\n", want: []got{{Err: 400}}},
+		"bare newline":         {text: "GET / HTTP/1.1\nHost: a\r\n\r\n", want: []got{{Err: 400}}},
+		"control character":    {text: "GET / HTTP/1.1\r\n" + host + "A: b\x00c\r\n\r\n", want: []got{{Err: 400}}},
+		"other version":        {text: "GET / HTTP/2.0\r\n" + host + "\r\n", want: []got{{Err: 505}}},
+		"long head":            {text: "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", MaxHead), want: []got{{Err: 431}}},
+		"many fields":          {text: "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxFields+1) + "\r\n", want: []got{{Err: 431}}},
+		"long body":            {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 65537\r\n\r\n", want: []got{{Err: 413}}},
+		"long chunks": {text: "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + long,
+			want: []got{{Err: 413}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, n := range []int{1, 2, 7, len(c.text)} {
+				p := Requests()
+				if c.answers {
+					p = Answers()
+				}
+				if diff := cmp.Diff(c.want, feed(p, c.text, n)); diff != "" {
+					t.Errorf("in pieces of %d (-want +got):\n%s", n, diff)
+				}
+			}
+		})
+	}
+}
+
+func TestAnAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	p := Answers()
+	if _, done, err := p.Feed([]byte("HTTP/1.1 200 OK\r\n\r\nabc")); done || err != nil {
+		t.Fatal("the answer ended early", err)
+	}
+	if !p.End() || string(p.Message().Body) != "abc" || !p.Message().Close {
+		t.Fatalf("got %q", p.Message().Body)
+	}
+	p.Reset()
+	_, _, _ = p.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"))
+	if p.End() {
+		t.Fatal("an answer cut short was taken for whole")
+	}
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, text []byte, n int) {
+		n = max(n%64, 1)
+		if diff := cmp.Diff(feed(Requests(), string(text), len(text)+1), feed(Requests(), string(text), n)); diff != "" {
+			t.Fatalf("pieces of %d read otherwise:\n%s", n, diff)
+		}
+	})
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -173,7 +173,7 @@
 
 // Reply answers at once with a plain text. Extra is whole header lines.
 func (l *Client) Reply(status int, extra, text string) {
-	l.answer(status, extra, "text/plain", []byte(text))
+	l.answer(status, []byte("Content-Type: text/plain\r\n"+extra), []byte(text))
 }
 
 // Reject answers at once and ends the link.
@@ -184,7 +184,11 @@
 
 // Served implements gatekeeper.Caller.
 func (l *Client) Served(_ *gatekeeper.Request, a gatekeeper.Answer) {
-	l.answer(200, "", string(a.Type), a.Body)
+	status := a.Status
+	if status == 0 {
+		status = 200
+	}
+	l.answer(status, a.Head, a.Body)
 }
 
 // Throttled implements gatekeeper.Caller.
@@ -199,7 +203,7 @@
 // Failed implements gatekeeper.Caller.
 func (l *Client) Failed(*gatekeeper.Request) { l.Reply(502, "", "failed\n") }
 
-func (l *Client) answer(status int, extra, kind string, body []byte) {
+func (l *Client) answer(status int, head, body []byte) {
 	if l.dead || !l.busy {
 		return
 	}
@@ -210,13 +214,10 @@
 	out = append(append(out, ' '), http.StatusText(status)...)
 	out = append(out, "\r\nContent-Length: "...)
 	out = strconv.AppendInt(out, int64(len(body)), 10)
-	if kind != "" {
-		out = append(append(out, "\r\nContent-Type: "...), kind...)
-	}
 	if end {
 		out = append(out, "\r\nConnection: close"...)
 	}
-	out = append(append(out, "\r\n"...), extra...)
+	out = append(append(out, "\r\n"...), head...)
 	out = append(append(out, "\r\n"...), body...)
 	l.set.out = out
 	l.write(out)
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -38,12 +38,13 @@
 // Loop is the event loop that owns everything.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	client *gnet.Client
-	events gnet.EventLoop
-	alarm  *time.Timer
-	ring   func()
-	ready  chan struct{}
-	Budget *Budget
+	client  *gnet.Client
+	events  gnet.EventLoop
+	alarm   *time.Timer
+	ring    func()
+	ready   chan struct{}
+	stopped atomic.Bool
+	Budget  *Budget
 }
 
 // NewLoop starts an event loop whose sockets stay within the budget.
@@ -99,7 +100,7 @@
 // Post runs do on the loop. Any goroutine may call it.
 func (l *Loop) Post(do func()) {
 	run := gnet.RunnableFunc(func(context.Context) error { do(); return nil })
-	if err := l.events.Execute(context.Background(), run); err != nil {
+	if err := l.events.Execute(context.Background(), run); err != nil && !l.stopped.Load() {
 		log.Printf("loop: call not taken: %v", err)
 	}
 }
@@ -115,17 +116,20 @@
 
 // Every calls do on the loop again and again.
 func (l *Loop) Every(pace time.Duration, do func()) {
-	var t *time.Timer
-	t = time.AfterFunc(pace, func() {
+	time.AfterFunc(pace, func() {
+		if l.stopped.Load() {
+			return
+		}
 		l.Post(func() {
 			do()
-			t.Reset(pace)
+			l.Every(pace, do)
 		})
 	})
 }
 
 // Stop ends the loop and closes what is still open.
 func (l *Loop) Stop() error {
+	l.stopped.Store(true)
 	l.alarm.Stop()
 	return l.client.Stop()
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"slices"
@@ -307,27 +306,3 @@
 	}
 	l.fleet.core.Done(x, gatekeeper.Outcome{Status: st})
 }
-
-// Load reads a load report in the text form, as the values named by fields.
-func Load(report []byte, fields []string) []float32 {
-	report, ok := bytes.CutPrefix(report, []byte("TEXT "))
-	if !ok || len(fields) == 0 {
-		return nil
-	}
-	load := make([]float32, len(fields))
-	found := false
-	for pair := range bytes.SplitSeq(report, []byte{','}) {
-		name, value, _ := bytes.Cut(bytes.TrimSpace(pair), []byte{'='})
-		i := slices.Index(fields, string(name))
-		if i < 0 {
-			continue
-		}
-		if v, err := strconv.ParseFloat(string(value), 32); err == nil {
-			load[i], found = float32(v), true
-		}
-	}
-	if !found {
-		return nil
-	}
-	return load
-}
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -114,6 +114,9 @@
 	if l.err != nil {
 		err = l.err
 	}
+	if l.w.loop.stopped.Load() {
+		return
+	}
 	log.Printf("discovery: watch broken, asking again: %v", err)
 	time.AfterFunc(watchAgain, func() { l.w.loop.Post(l.w.Start) })
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -1,3 +1,5 @@
+// Package platform is the front for the platform's protocol: its headers, its
+// outcomes and its host group.
 package platform
 
 import (
@@ -16,14 +18,14 @@
 // The platform's names on sockets.
 const (
 	pathAPI   = "/api"
-	pathReady = "/health/ready"
-	pathLive  = "/health/live"
+	PathReady = "/health/ready" // 200 once clients may come
+	PathLive  = "/health/live"  // 200 while the loop turns
 
 	headTrace  = "X-Trace-Id"
 	headClass  = "X-Qos"
 	headPlan   = "X-Tier"
 	headKey    = "X-Api-Key"
-	headLeft   = "X-Expires-In-Ms"
+	HeadLeft   = "X-Expires-In-Ms" // how long the sender waits for the answer
 	headRepeat = "Idempotency-Key"
 	headTerms  = "X-Call-Terms"
 	headNever  = "X-Never-Ran"
@@ -54,20 +56,26 @@
 			return
 		}
 		l.Submit(r)
-	case pathReady, pathLive:
-		switch {
-		case string(m.Method) != "GET":
-			l.Reply(405, "Allow: GET\r\n", "only GET\n")
-		case string(path) == pathReady && !f.ready():
-			l.Reply(503, "", "not ready\n")
-		default:
-			l.Reply(200, "", "ok\n")
-		}
+	case PathReady, PathLive:
+		Health(l, m, f.ready())
 	default:
 		l.Reply(404, "", "no such path\n")
 	}
 }
 
+// Health answers a question for PathReady or PathLive.
+func Health(l *link.Client, m *http1.Message, ready bool) {
+	path, _, _ := bytes.Cut(m.Target, []byte{'?'})
+	switch {
+	case string(m.Method) != "GET":
+		l.Reply(405, "Allow: GET\r\n", "only GET\n")
+	case string(path) == PathReady && !ready:
+		l.Reply(503, "", "not ready\n")
+	default:
+		l.Reply(200, "", "ok\n")
+	}
+}
+
 // request reads a request's headers, and refuses what it is not sure of.
 func (f *Front) request(m *http1.Message) (*gatekeeper.Request, error) {
 	r := &gatekeeper.Request{}
@@ -82,9 +90,9 @@
 		return nil, fmt.Errorf("%s is not 16 hex digits", headKey)
 	}
 	r.Customer = key
-	left, err := strconv.ParseUint(string(m.Get(headLeft)), 10, 31)
+	left, err := strconv.ParseUint(string(m.Get(HeadLeft)), 10, 31)
 	if err != nil {
-		return nil, fmt.Errorf("%s is not a number of milliseconds", headLeft)
+		return nil, fmt.Errorf("%s is not a number of milliseconds", HeadLeft)
 	}
 	r.Left = float64(left)
 	if len(m.Get(headTrace)) == 0 {
@@ -157,21 +165,57 @@
 }
 
 // Left implements link.Reader.
-func (f *Front) Left() string { return headLeft }
+func (f *Front) Left() string { return HeadLeft }
 
 // Outcome implements link.Reader: it reads a worker's answer. Only the header
 // that says so proves that a request never ran.
 func (f *Front) Outcome(m *http1.Message) gatekeeper.Outcome {
-	o := gatekeeper.Outcome{Status: policy.Failed, Load: link.Load(m.Get(headLoad), f.settings.InlineLoad)}
+	o := gatekeeper.Outcome{Status: policy.Failed, Load: Load(m, f.settings.InlineLoad)}
 	switch {
 	case m.Status == 200:
 		o.Status = policy.OK
-		o.Answer = gatekeeper.Answer{Body: m.Body, Type: m.Get("Content-Type")}
-		if v, err := strconv.ParseFloat(string(m.Get(headUnits)), 64); err == nil && v > 0 && v < 1<<20 {
-			o.Units = v
-		}
-	case (m.Status == 503 || m.Status == 504) && string(m.Get(headNever)) == "1":
+		o.Answer.Body = m.Body
+		o.Units = Units(m)
+	case NeverRan(m):
 		o.Status = policy.Full
 	}
 	return o
 }
+
+// NeverRan tells whether a worker proves that it has not run a request.
+func NeverRan(m *http1.Message) bool {
+	return (m.Status == 503 || m.Status == 504) && string(m.Get(headNever)) == "1"
+}
+
+// Units is what a worker says that a request really cost, 0 where it does not.
+func Units(m *http1.Message) float64 {
+	v, err := strconv.ParseFloat(string(m.Get(headUnits)), 64)
+	if err != nil || !(v > 0 && v < 1<<20) {
+		return 0
+	}
+	return v
+}
+
+// Load is the load report in an answer: the values named by fields.
+func Load(m *http1.Message, fields []string) []float32 {
+	report, ok := bytes.CutPrefix(m.Get(headLoad), []byte("TEXT "))
+	if !ok || len(fields) == 0 {
+		return nil
+	}
+	load := make([]float32, len(fields))
+	found := false
+	for pair := range bytes.SplitSeq(report, []byte{','}) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(pair), []byte{'='})
+		i := slices.Index(fields, string(name))
+		if i < 0 {
+			continue
+		}
+		if v, err := strconv.ParseFloat(string(value), 32); err == nil {
+			load[i], found = float32(v), true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return load
+}
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -12,8 +12,8 @@
 	"foxwood/policy"
 )
 
-// groupList is discovery's list, whole or as changes.
-type groupList struct {
+// List is discovery's list of workers, whole or as changes.
+type List struct {
 	Generation int64  `json:"generation"`
 	Reset      bool   `json:"reset"`
 	Instances  []item `json:"instances"`
@@ -30,22 +30,23 @@
 	Started   float64 `json:"startedAtMs"`
 }
 
-// group keeps the host group: it passes every list on and remembers its version.
-type group struct {
-	core    *gatekeeper.Gatekeeper
-	fleet   *link.Fleet
-	names   settings.Names
+// HostGroup passes every list on and remembers the version held.
+type HostGroup struct {
+	Core  *gatekeeper.Gatekeeper
+	Fleet *link.Fleet
+	Names settings.Names
+
 	version int64
 }
 
-// path asks for a watch of what comes after the version held.
-func (g *group) path() string {
+// Path asks for a watch of what comes after the version held.
+func (g *HostGroup) Path() string {
 	return fmt.Sprintf("/registry/instances?stream=1&index=%d", g.version)
 }
 
-// line takes one line of the watch.
-func (g *group) line(text []byte) error {
-	var l groupList
+// Line takes one line of the watch.
+func (g *HostGroup) Line(text []byte) error {
+	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("host group: %w", err)
 	}
@@ -53,25 +54,26 @@
 	if l.Reset {
 		kind = policy.FullList
 	}
-	g.apply(kind, l)
+	g.Apply(kind, l)
 	return nil
 }
 
-func (g *group) apply(kind policy.ListKind, l groupList) {
+// Apply takes a list.
+func (g *HostGroup) Apply(kind policy.ListKind, l List) {
 	entries := make([]policy.Entry, 0, len(l.Instances))
 	for _, it := range l.Instances {
 		e := policy.Entry{
 			Server: serverID(it.ID), State: lifecycle(it.Lifecycle), Weight: it.Weight,
-			Zone: max(slices.Index(g.names.Zones, it.Zone), 0), Cell: it.Cell,
-			Kind: max(slices.Index(g.names.Kinds, it.Kind), 0), ReadyAt: policy.Micros(it.Started * 1000),
+			Zone: max(slices.Index(g.Names.Zones, it.Zone), 0), Cell: it.Cell,
+			Kind: max(slices.Index(g.Names.Kinds, it.Kind), 0), ReadyAt: policy.Micros(it.Started * 1000),
 		}
 		if e.State != policy.Gone {
-			g.fleet.Place(e.Server, it.Addr)
+			g.Fleet.Place(e.Server, it.Addr)
 		}
 		entries = append(entries, e)
 	}
 	g.version = l.Generation
-	g.core.Workers(kind, entries)
+	g.Core.Workers(kind, entries)
 }
 
 // lifecycle reads a state. One that is not known is taken for draining: it gets
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,247 @@
+// Package service puts a gatekeeper together from its configuration and runs it
+// until it is told to stop.
+package service
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"foxwood/gatekeeper"
+	"foxwood/internal/link"
+	"foxwood/internal/openapi"
+	"foxwood/internal/platform"
+	"foxwood/internal/settings"
+	"foxwood/policy"
+)
+
+// config is the file that EDGE_CONFIG names.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Counter  string          `json:"counter"`
+	Known    platform.List   `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	// OpenAPI is not on the platform: an operator's file sets the front up by it.
+	OpenAPI *openapi.Config `json:"openapi"`
+}
+
+const (
+	sweepEvery = 250 * time.Millisecond
+	// lateArrivals is how long after SIGTERM requests may still come in.
+	lateArrivals = 800 * time.Millisecond
+	closeIdle    = 450 * time.Millisecond
+	drainLook    = 20 * time.Millisecond
+	counterPath  = "/v2/numbers"
+	// restMost is the part of the workers' idle time that a server link may rest.
+	restMost = 0.5
+)
+
+func readConfig() (config, error) {
+	var c config
+	text, err := os.ReadFile(os.Getenv("EDGE_CONFIG"))
+	if err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	for name, field := range map[string]*string{
+		"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery,
+	} {
+		if v := os.Getenv(name); v != "" {
+			*field = v
+		}
+	}
+	return c, nil
+}
+
+// front is a front with what a link reads workers' answers by.
+type front interface {
+	link.Front
+	link.Reader
+}
+
+// service is a gatekeeper and its parts.
+type service struct {
+	config  config
+	loop    *link.Loop
+	core    *gatekeeper.Gatekeeper
+	clients *link.Clients
+	hosts   *platform.HostGroup
+	api     *openapi.Front // nil on the platform
+}
+
+// Run serves until SIGTERM, and then until what was taken is answered.
+func Run() error {
+	c, err := readConfig()
+	if err != nil {
+		return err
+	}
+	tune(c.Limits.MemoryMB)
+	s, err := start(c)
+	if err != nil {
+		return err
+	}
+	listener, err := link.Listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	go listener.Accept(s.loop, s.clients.Make)
+	log.Printf("%s serves at %s with %d workers known", c.Name, c.Listen, len(c.Known.Instances))
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			log.Printf("%s drains after %v", c.Name, got)
+			break
+		}
+		if err := s.reload(); err != nil {
+			log.Printf("description not replaced, the old one holds: %v", err)
+		}
+	}
+	s.drain()
+	_ = listener.Close()
+	log.Printf("%s ends", c.Name)
+	return s.loop.Stop()
+}
+
+// start makes the parts and sets them to work, short of taking clients.
+func start(c config) (*service, error) {
+	set, names, err := settings.Parse(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: seed: %w", err)
+	}
+	if set.Counter && c.Counter == "" {
+		return nil, errors.New("configuration: the settings allow a counter, but none is named")
+	}
+	s := &service{config: c}
+	clock := gatekeeper.NewClock()
+	var f front = platform.NewFront(set, names, func() bool { return s.core.Ready() && !s.clients.Draining() })
+	if c.OpenAPI != nil {
+		d, err := describe(c.OpenAPI.Description)
+		if err != nil {
+			return nil, err
+		}
+		if s.api, err = openapi.NewFront(*c.OpenAPI, d, set, names, clock); err != nil {
+			return nil, err
+		}
+		set.Classes, f = s.api.Classes(), s.api
+	}
+	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets))); err != nil {
+		return nil, err
+	}
+	connectMost, idleMost := float64(names.ConnectMost)/1000, float64(names.ConnIdle)/1000*restMost
+	fleet := link.NewFleet(s.loop, clock, f, connectMost, idleMost)
+	counter := link.NewCounter(s.loop, clock, c.Counter, counterPath, connectMost)
+	s.loop.OnAlarm(func() { s.core.Advance() })
+	started := make(chan struct{})
+	s.loop.Post(func() {
+		s.core = gatekeeper.New(gatekeeper.Config{
+			Settings: set, Seed: seed, Clock: clock, Fleet: fleet, Counter: counter,
+			Wake: func(at float64) { s.loop.Wake(at - clock.Now()) },
+		})
+		fleet.Attach(s.core)
+		counter.Attach(s.core)
+		s.clients = link.NewClients(s.loop, s.core, f)
+		if s.api != nil {
+			s.api.Attach(s.core, s.clients.Draining)
+		}
+		s.hosts = &platform.HostGroup{Core: s.core, Fleet: fleet, Names: names}
+		s.hosts.Apply(policy.Cached, c.Known)
+		watch := link.NewWatch(s.loop, clock, c.Discovery, s.hosts.Path, s.hosts.Line)
+		if c.Discovery != "" {
+			watch.Start()
+		}
+		s.loop.Every(sweepEvery, func() {
+			fleet.Sweep()
+			counter.Sweep()
+			watch.Sweep()
+		})
+		close(started)
+	})
+	<-started
+	return s, nil
+}
+
+func describe(file string) (*openapi.Description, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("description: %w", err)
+	}
+	return openapi.Parse(text)
+}
+
+// reload puts the description's file in force as it is now, or leaves all as it was.
+func (s *service) reload() error {
+	if s.api == nil {
+		return errors.New("no description is set up")
+	}
+	d, err := describe(s.config.OpenAPI.Description)
+	if err != nil {
+		return err
+	}
+	s.loop.Post(func() {
+		s.api.Replace(d)
+		log.Printf("description replaced: %d operations", d.Operations())
+	})
+	return nil
+}
+
+// drain answers everything that still comes in while clients are told to go, and
+// returns once nothing can be owed any more.
+func (s *service) drain() {
+	began := time.Now()
+	s.loop.Post(s.clients.Drain)
+	time.Sleep(closeIdle)
+	for {
+		left := make(chan int)
+		s.loop.Post(func() {
+			s.clients.CloseIdle()
+			left <- s.core.Open() + s.clients.Len()
+		})
+		if <-left == 0 && time.Since(began) > lateArrivals {
+			return
+		}
+		time.Sleep(drainLook)
+	}
+}
+
+// descriptors is the number the process may hold: what it is told, or what the
+// system allows where that is less.
+func descriptors(told int) int {
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < uint64(told) {
+		return int(lim.Cur)
+	}
+	return told
+}
+
+// tune sets the runtime for one core and little memory.
+func tune(memoryMB int) {
+	runtime.GOMAXPROCS(2)
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * 3 / 4)
+	}
+	debug.SetGCPercent(400)
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,423 @@
+package service
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestARequestPassesUnchangedBothWays(t *testing.T) {
+	addr, got := worker(t, say(served))
+	g := open(t, nil, addr)
+	c := g.dial()
+	for range 2 { // the second on the same links
+		res, body := c.ask(simulacion(900, "monto=1"))
+		if res.StatusCode != 200 || body != "hola\n" {
+			t.Fatalf("%d %q", res.StatusCode, body)
+		}
+	}
+	first, second := next(t, got), next(t, got)
+	if first.c != second.c {
+		t.Error("the second request opened a link of its own")
+	}
+	want := []string{"POST", "/api", "7c2d", "5c0f", "monto=1"}
+	if diff := cmp.Diff(want, []string{first.Method, first.RequestURI, first.Header.Get("X-Trace-Id"),
+		first.Header.Get("Idempotency-Key"), first.body}); diff != "" {
+		t.Error(diff)
+	}
+	if left := first.Header.Get("X-Expires-In-Ms"); len(left) != 3 {
+		t.Errorf("told to wait %q ms of 900", left)
+	}
+}
+
+func TestABodyInChunksIsServedWhole(t *testing.T) {
+	addr, _ := worker(t, say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nho\r\n3\r\nla\n\r\n0\r\n\r\n"))
+	if _, body := open(t, nil, addr).dial().ask(cuota("mayor", 900)); body != "hola\n" {
+		t.Fatalf("%q", body)
+	}
+}
+
+func TestBeyondItsQuotaACustomerIsThrottledAtOnce(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	c := open(t, nil, addr).dial()
+	for range 2 { // two requests of 2 units are the burst of 4
+		if res, _ := c.ask(cuota("basico", 900)); res.StatusCode != 200 {
+			t.Fatalf("inside the quota: %d", res.StatusCode)
+		}
+	}
+	res, _ := c.ask(cuota("basico", 900))
+	if res.StatusCode != 429 || res.Header.Get("Retry-After") == "" {
+		t.Fatalf("%d, Retry-After %q", res.StatusCode, res.Header.Get("Retry-After"))
+	}
+}
+
+func TestASilentWorkerEndsInAnAnswerAtTheDeadline(t *testing.T) {
+	addr, got := worker(t, hang)
+	start := time.Now()
+	res, _ := open(t, nil, addr).dial().ask(simulacion(300, ""))
+	if took := time.Since(start); took < 250*time.Millisecond || took > time.Second {
+		t.Errorf("answered after %v", took)
+	}
+	if res.StatusCode != 429 && res.StatusCode != 502 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	if len(got) != 1 {
+		t.Errorf("%d executions", len(got))
+	}
+}
+
+// TestAClientThatLeavesEndsItsExecution: to give up is to close the server link.
+func TestAClientThatLeavesEndsItsExecution(t *testing.T) {
+	ended := make(chan error, 1)
+	addr, got := worker(t, func(_ int, s *seen) bool {
+		_, err := s.c.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	c := open(t, nil, addr).dial().send(cuota("mayor", 1900))
+	next(t, got)
+	c.Close()
+	if err := next(t, ended); err != io.EOF {
+		t.Fatalf("the server link ended with %v", err)
+	}
+}
+
+// TestAnExecutionThatEndsWithoutAnAnswerIsFollowedByAnother, as a safe class allows.
+func TestAnExecutionThatEndsWithoutAnAnswerIsFollowedByAnother(t *testing.T) {
+	drop := func(int, *seen) bool { return false }
+	for name, first := range map[string]func(int, *seen) bool{
+		"a broken link":       drop,
+		"an error":            say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"),
+		"turned away":         say("HTTP/1.1 503 F\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"),
+		"an answer cut short": say("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhol"),
+		"no HTTP at all":      say("SSH-2.0\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, got := worker(t, func(n int, s *seen) bool {
+				if n == 0 {
+					first(n, s)
+					return false
+				}
+				return say(served)(n, s)
+			})
+			res, _ := open(t, nil, addr).dial().ask(cuota("mayor", 1900))
+			if res.StatusCode != 200 || len(got) != 2 {
+				t.Fatalf("status %d after %d executions", res.StatusCode, len(got))
+			}
+		})
+	}
+}
+
+// TestARefusedConnectionNeverRan: the request goes to another worker.
+func TestARefusedConnectionNeverRan(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	addr, _ := worker(t, say(served))
+	c := open(t, nil, ln.Addr().String(), addr).dial()
+	for range 8 {
+		if res, _ := c.ask(simulacion(900, "")); res.StatusCode != 200 {
+			t.Fatalf("status %d", res.StatusCode)
+		}
+	}
+}
+
+// TestWhatIsNotARequestGoesNoFurther guards against forwarding what two readers
+// could read differently, or what the settings do not know.
+func TestWhatIsNotARequestGoesNoFurther(t *testing.T) {
+	addr, got := worker(t, say(served))
+	g := open(t, nil, addr)
+	good := cuota("mayor", 900)
+	for name, c := range map[string]struct {
+		text string
+		want int
+		ends bool
+	}{
+		"noise":             {"\x16\x03\x01\x02\r\n\r\n", 400, true},
+		"two lengths":       {"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400, true},
+		"a long body":       {"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n", 413, true},
+		"a long head":       {"GET /api HTTP/1.1\r\nA: " + strings.Repeat("x", 20000), 431, true},
+		"an unknown path":   {strings.Replace(good, "/api", "/nada", 1), 404, false},
+		"an unknown class":  {strings.Replace(good, "cuota", "otra", 1), 400, true},
+		"an unknown plan":   {strings.Replace(good, "mayor", "otro", 1), 400, true},
+		"no deadline":       {strings.Replace(good, "X-Expires", "X-Expired", 1), 400, true},
+		"a broken deadline": {strings.Replace(good, ": 900", ": -1", 1), 400, true},
+		"a short key":       {strings.Replace(good, "00000000b4", "b4", 1), 400, true},
+		"no id":             {strings.Replace(good, "X-Trace", "X-Trage", 1), 400, true},
+		"no terms":          {strings.Replace(good, "units=2,", "", 1), 400, true},
+		"terms that are no": {strings.Replace(good, "units=2", "units=NaN", 1), 400, true},
+		"the wrong method":  {strings.Replace(good, "GET", "POST", 1), 400, true},
+		"no repeat key":     {strings.Replace(simulacion(900, ""), "Idempotency-Key", "Idempotency-No", 1), 400, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := g.dial()
+			res, _ := cl.ask(c.text)
+			if res.StatusCode != c.want {
+				t.Errorf("status %d, want %d", res.StatusCode, c.want)
+			}
+			if c.ends {
+				cl.ended()
+			}
+		})
+	}
+	if len(got) != 0 {
+		t.Fatalf("%d were forwarded", len(got))
+	}
+}
+
+// TestRoomToAcceptIsKept: past the budget the client link that has rested longest
+// makes room, and descriptors never run out.
+func TestRoomToAcceptIsKept(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	g := open(t, func(c *config) { c.Limits.Sockets = 100 }, addr)
+	var all []*client
+	for range g.loop.Budget.Clients + 2 {
+		c := g.dial()
+		if res, _ := c.ask(cuota("mayor", 900)); res.StatusCode != 200 {
+			t.Fatalf("status %d", res.StatusCode)
+		}
+		all = append(all, c)
+	}
+	all[0].ended()
+	if res, _ := all[len(all)-1].ask(cuota("mayor", 900)); res.StatusCode != 200 {
+		t.Fatalf("the newest link got %d", res.StatusCode)
+	}
+}
+
+// TestDiscoveryIsAskedAgainFromWhatIsHeld guards against losing the changes made
+// while a watch was broken.
+func TestDiscoveryIsAskedAgainFromWhatIsHeld(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	asked := make(chan string, 10)
+	discovery := listen(t, func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		index := req.URL.Query().Get("index")
+		asked <- index
+		line := fmt.Sprintf(`{"generation":9,"reset":false,"instances":[%s]}`, strings.ReplaceAll(member(0, addr), "\n", ""))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+		if index == "9" {
+			_, _ = c.Read(make([]byte, 1))
+		}
+	})
+	g := open(t, func(c *config) { c.Discovery = discovery })
+	if first, again := next(t, asked), next(t, asked); first != "7" || again != "9" {
+		t.Fatalf("asked from %s, then from %s", first, again)
+	}
+	if res, _ := g.dial().ask(cuota("mayor", 900)); res.StatusCode != 200 {
+		t.Fatalf("status %d with the worker that discovery told", res.StatusCode)
+	}
+}
+
+// TestALateCounterAnswerTakesItsTurn guards against giving it to the next call.
+func TestALateCounterAnswerTakesItsTurn(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	release := make(chan bool)
+	calls := make(chan string, 10)
+	counter := listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			calls <- req.RequestURI
+			total := "999" // far past any limit: let in only where it went to the wrong call
+			if n == 0 {
+				<-release
+			} else {
+				total = "2"
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(total), total)
+		}
+	})
+	g := open(t, func(c *config) {
+		c.Counter = counter
+		text := strings.Replace(settingsText, `"shared-counter":false`, `"shared-counter":true,"count-limit-us":50000`, 1)
+		text = strings.Replace(text, `"refill":0.5,"burst":4`, `"refill":2,"burst":4,"overrun-cost":0.2`, 1)
+		c.Settings = json.RawMessage(text)
+	})
+	g.setWorker(addr)
+	c := g.dial()
+	if res, _ := c.ask(cuota("basico", 900)); res.StatusCode != 200 {
+		t.Fatalf("without an answer the slice decides: status %d", res.StatusCode)
+	}
+	if call := next(t, calls); !strings.HasPrefix(call, "/v2/numbers/") || !strings.Contains(call, "?delta=2&life_ms=") {
+		t.Fatalf("called %s", call)
+	}
+	release <- true
+	if res, _ := c.ask(cuota("basico", 900)); res.StatusCode != 200 {
+		t.Fatalf("the second call got the first one's answer: status %d", res.StatusCode)
+	}
+}
+
+// setWorker puts one worker on the list.
+func (g *gate) setWorker(addr string) {
+	g.t.Helper()
+	done := make(chan error)
+	g.loop.Post(func() {
+		line := fmt.Sprintf(`{"generation":8,"reset":true,"instances":[%s]}`, member(0, addr))
+		done <- g.hosts.Line([]byte(line))
+	})
+	if err := next(g.t, done); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// TestADrainAnswersWhatWasTaken: what is under way and what still arrives is
+// answered, the links are ended, and only then the drain is over.
+func TestADrainAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan bool)
+	addr, got := worker(t, func(n int, s *seen) bool {
+		if n == 0 {
+			<-release
+		}
+		return say(served)(n, s)
+	})
+	g := open(t, nil, addr)
+	idle, busy := g.dial(), g.dial()
+	if res, _ := idle.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"); res.StatusCode != 200 {
+		t.Fatalf("ready: %d", res.StatusCode)
+	}
+	busy.send(cuota("mayor", 1900))
+	next(t, got)
+	over := make(chan bool)
+	go func() { g.drain(); close(over) }()
+	idle.ended()
+	late := g.dial()
+	if res, _ := late.ask(cuota("mayor", 1900)); res.StatusCode != 200 || !res.Close {
+		t.Fatalf("a late arrival got %d, close %v", res.StatusCode, res.Close)
+	}
+	select {
+	case <-over:
+		t.Fatal("the drain ended before what was taken was answered")
+	default:
+	}
+	release <- true
+	if res, _ := busy.get(); res.StatusCode != 200 || !res.Close {
+		t.Fatalf("what was under way got %d, close %v", res.StatusCode, res.Close)
+	}
+	next(t, over)
+}
+
+// TestRequestsSentAheadWaitTheirTurn: a client link carries one at a time.
+func TestRequestsSentAheadWaitTheirTurn(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	c := open(t, nil, addr).dial().send(strings.Repeat(cuota("mayor", 900), 3))
+	for range 3 {
+		if res, _ := c.get(); res.StatusCode != 200 {
+			t.Fatalf("status %d", res.StatusCode)
+		}
+	}
+}
+
+// TestTheOperatorsFrontServesADescription plays the whole path of the OpenAPI
+// front, as the operator's file sets it up: answers, refusals, errors, deadlines
+// and a replacement while a request is under way.
+func TestTheOperatorsFrontServesADescription(t *testing.T) {
+	release := make(chan bool)
+	addr, got := worker(t, func(_ int, s *seen) bool {
+		switch s.URL.Query().Get("monto") {
+		case "slow":
+			<-release
+		case "never":
+			return hang(0, s)
+		case "wrong":
+			return say("HTTP/1.1 422 U\r\nX-Why: monto\r\nContent-Length: 3\r\n\r\nno\n")(0, s)
+		case "broken":
+			return say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")(0, s)
+		}
+		return say("HTTP/1.1 201 C\r\nLocation: /s/1\r\nX-Cost-Units: 1\r\nContent-Length: 3\r\n\r\nsi\n")(0, s)
+	})
+	text, err := os.ReadFile("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "calculadora.yaml")
+	description, err := os.ReadFile("../../deploy/calculadora.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(description))
+	g := open(t, func(c *config) {
+		// without a ceiling, whose store a gatekeeper just born takes for empty
+		plain := strings.Replace(string(text), `"ceiling-rate": 35, `, "", 1)
+		if err := json.Unmarshal([]byte(plain), c); err != nil {
+			t.Fatal(err)
+		}
+		c.Known.Instances = c.Known.Instances[:1]
+		c.Known.Instances[0].Addr = addr
+		c.OpenAPI.Description = file
+	})
+	ask := func(target, bank string, ms int) *http.Response {
+		t.Helper()
+		res, _ := g.dial().ask(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nX-Api-Key: %s\r\nX-Expires-In-Ms: %d\r\nX-Mine: 1\r\n\r\n",
+			target, bank, ms))
+		return res
+	}
+	if res := ask("/v1/cuota?monto=1", "banco-sur", 2000); res.StatusCode != 201 || res.Header.Get("Location") != "/s/1" {
+		t.Errorf("served: %d, %v", res.StatusCode, res.Header)
+	}
+	if s := next(t, got); s.Header.Get("X-Mine") != "1" || s.RequestURI != "/v1/cuota?monto=1" {
+		t.Errorf("the worker got %s with %v", s.RequestURI, s.Header)
+	}
+	for target, want := range map[string]int{"/v1/cuota?monto=wrong": 422, "/v1/nada": 404, "/v1/simulacion": 405} {
+		if res := ask(target, "banco-sur", 2000); res.StatusCode != want {
+			t.Errorf("%s: %d, want %d", target, res.StatusCode, want)
+		}
+	}
+	if res := ask("/v1/cuota?monto=broken", "banco-sur", 2000); res.StatusCode != 429 && res.StatusCode != 502 {
+		t.Errorf("three errors end in %d", res.StatusCode)
+	}
+	begun := time.Now()
+	if res := ask("/v1/cuota?monto=never", "banco-sur", 2000); res.StatusCode == 201 || time.Since(begun) > 2500*time.Millisecond {
+		t.Errorf("past the deadline: %d after %v", res.StatusCode, time.Since(begun))
+	}
+	for len(got) > 0 {
+		<-got
+	}
+	slow := g.dial().send("GET /v1/cuota?monto=slow HTTP/1.1\r\nHost: a\r\nX-Api-Key: banco-sur\r\n\r\n")
+	next(t, got)
+	write(strings.Replace(string(description), "units: 2,", "", 1))
+	if err := g.reload(); err == nil || !strings.Contains(err.Error(), `operation "cuota" states no cost`) {
+		t.Errorf("a description without a cost was answered with %v", err)
+	}
+	write(strings.Replace(string(description), "/cuota:", "/nueva:", 1))
+	if err := g.reload(); err != nil {
+		t.Error(err)
+	}
+	if old, now := ask("/v1/cuota?monto=1", "banco-sur", 2000), ask("/v1/nueva?monto=1", "banco-sur", 2000); old.StatusCode != 404 || now.StatusCode != 201 {
+		t.Errorf("after the replacement the old path gives %d, the new one %d", old.StatusCode, now.StatusCode)
+	}
+	release <- true
+	if res, _ := slow.get(); res.StatusCode != 201 {
+		t.Errorf("what was under way got %d", res.StatusCode)
+	}
+	throttled := false
+	for range 20 {
+		res := ask("/v1/nueva?monto=1", "otro", 2000)
+		throttled = throttled || res.StatusCode == 429 && res.Header.Get("Retry-After") != ""
+	}
+	if !throttled {
+		t.Error("a small customer is never throttled")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -380,6 +380,51 @@
 	})
 }
 
+// SetClasses replaces the table of classes while requests are under way. They keep
+// the terms they came with, and held ones the place that those give them. A class
+// that stays as it is in its place keeps what was learned of it.
+func (g *Gateway) SetClasses(now Micros, do Host, classes []Class) {
+	g.enter(now, do)
+	old, held := g.classes, g.queue
+	g.classes = nil
+	for i, c := range classes {
+		st := classState{Class: c, lat: float64(c.Aim) / 4}
+		if i < len(old) && old[i].Class == c {
+			st = old[i]
+		}
+		g.classes = append(g.classes, st)
+	}
+	for _, q := range g.reqs {
+		for i := range min(len(old), len(g.classes)) {
+			if q.class == &old[i] && old[i].Class == g.classes[i].Class {
+				q.class = &g.classes[i]
+				break
+			}
+		}
+	}
+	g.rankLevels()
+	for _, level := range held {
+		for _, q := range level {
+			q.level = g.levelOf(q)
+			g.queue[q.level] = append(g.queue[q.level], q)
+		}
+	}
+	g.dispatch()
+}
+
+// levelOf is the first level that ranks no higher than a request's own terms.
+func (g *Gateway) levelOf(q *request) int {
+	level := len(g.queue) - 1
+	for i := range g.classes {
+		for j := range g.plans {
+			if g.classes[i].Worth*g.plans[j].Price <= q.class.Worth*q.plan.Price {
+				level = min(level, g.levels[i][j])
+			}
+		}
+	}
+	return level
+}
+
 func (g *Gateway) enter(now Micros, do Host) {
 	g.now, g.do = now, do
 }
