Test that replaced classes leave held and sent requests their rank and terms

Both fail where SetClasses is broken: with every held request put on the first level, and with requests under way moved to the new terms. The comparison of decisions could not see the former, as both of its sides share SetClasses.

--- /dev/null
+++ b/policy/classes_test.go
@@ -0,0 +1,55 @@
+package policy
+
+import "testing"
+
+// TestReplacedClassesLeaveHeldRequestsTheirRank: what was taken before goes by its
+// own worth, what comes after by the new one.
+func TestReplacedClassesLeaveHeldRequestsTheirRank(t *testing.T) {
+	s := settings()
+	s.Gateways = 1
+	s.Plans = s.Plans[:1]
+	g, r := start(s, 1)
+	for id := range uint32(5) { // as many as the bound lets out
+		g.Request(100e6, r, Request{ID: id, Customer: uint64(id), Left: 2e6, Units: 1, Spread: 1})
+	}
+	ask := func(id uint32, class int) {
+		g.Request(100e6, r, Request{ID: id, Class: class, Customer: uint64(id), Left: 2e6, Units: 1, Spread: 1})
+	}
+	ask(10, 0) // worth 1
+	ask(11, 1) // worth 2
+	dear := s.Classes[0]
+	dear.Worth = 9
+	g.SetClasses(100e6, r, []Class{dear, s.Classes[1], s.Classes[2]})
+	ask(12, 0) // worth 9
+	if len(r.sent) != 5 {
+		t.Fatalf("%d are out, want 5 and the rest held", len(r.sent))
+	}
+	for id := range uint32(3) {
+		g.Outcome(101e6, r, Outcome{ID: id, Status: OK, Terminal: true, Latency: 1e6, Server: 1})
+	}
+	var order []uint32
+	for _, x := range r.sent[5:] {
+		order = append(order, x.id)
+	}
+	if len(order) < 2 || order[0] != 12 || order[1] != 11 {
+		t.Fatalf("released in the order %v, want 12 and 11 first", order)
+	}
+}
+
+// TestReplacedClassesLeaveRequestsUnderWayTheirTerms guards rule 2: a keyed
+// request may go out again only in the window that it was taken under.
+func TestReplacedClassesLeaveRequestsUnderWayTheirTerms(t *testing.T) {
+	s := settings()
+	s.Gateways = 1
+	s.Classes[1].Group = GroupAll
+	g, r := start(s, 4)
+	g.Request(100e6, r, Request{ID: 1, Class: 1, Customer: 1, Left: 2e6, Units: 1, Spread: 1})
+	longer := s.Classes[1]
+	longer.Window, longer.Repeat = 60e6, Safe
+	g.SetClasses(100e6, r, []Class{s.Classes[0], longer, s.Classes[2]})
+	first := r.sent[0]
+	g.Outcome(101100e3, r, Outcome{ID: 1, Status: Reset, Latency: 1100e3, Server: first.to})
+	if _, refused := r.refused[1]; len(r.sent) != 1 || !refused {
+		t.Fatalf("%d sends past the window, refused %v", len(r.sent), refused)
+	}
+}
