--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -8,7 +8,11 @@
 // goroutines at once.
 package gatekeeper
 
-import "foxwood/policy"
+import (
+	"maps"
+
+	"foxwood/policy"
+)
 
 // Caller is owed the final answer to a request, and gets exactly one, unless it
 // has told the gatekeeper that it left.
@@ -100,15 +104,14 @@
 	counter Counter
 	wake    func(at float64)
 
-	requests   map[uint32]*Request
-	lastID     uint32
-	timers     timers
-	wokenAt    float64
-	patience   float64 // of counter calls
-	deciding   bool
-	waiting    []func() // events that came while a decision was being made
-	known      map[policy.Server]bool
-	readyCount int
+	requests map[uint32]*Request
+	lastID   uint32
+	timers   timers
+	wokenAt  float64
+	patience float64 // of counter calls
+	deciding bool
+	waiting  []func()               // events that came while a decision was being made
+	known    map[policy.Server]bool // the listed workers, and whether they take work
 }
 
 // Config is what a Gatekeeper is made of.
@@ -239,22 +242,24 @@
 
 // Workers brings the host group, whole or as changes to it.
 func (g *Gatekeeper) Workers(kind policy.ListKind, entries []policy.Entry) {
+	before := maps.Clone(g.known)
 	if kind != policy.Delta {
-		for id := range g.known {
-			g.known[id] = false
-		}
+		g.known = map[policy.Server]bool{}
 	}
 	for _, e := range entries {
-		g.known[e.Server] = e.State == policy.Ready
+		if g.known[e.Server] = e.State == policy.Ready; e.State == policy.Gone {
+			delete(g.known, e.Server)
+		}
+	}
+	for id := range before {
+		if !g.known[id] {
+			g.fleet.Release(id)
+		}
 	}
-	g.readyCount = 0
 	for id, ready := range g.known {
-		if ready {
-			g.readyCount++
-			continue
+		if _, was := before[id]; !ready && !was {
+			g.fleet.Release(id)
 		}
-		g.fleet.Release(id)
-		delete(g.known, id)
 	}
 	g.enter(func(now policy.Micros) { g.decide.Servers(now, g, kind, entries) })
 }
@@ -265,8 +270,27 @@
 	g.enter(func(now policy.Micros) { g.decide.SetClasses(now, g, classes) })
 }
 
+// Standings is what the decision module thinks of the workers, and how many
+// executions it would have out at once.
+func (g *Gatekeeper) Standings() ([]policy.Standing, float64) {
+	return g.decide.Standings(micros(g.clock.Now()))
+}
+
 // Ready tells whether there is a worker to serve with.
-func (g *Gatekeeper) Ready() bool { return g.readyCount > 0 }
+func (g *Gatekeeper) Ready() bool {
+	ready, _ := g.Size()
+	return ready > 0
+}
+
+// Size is how many workers are listed, and how many of them take work.
+func (g *Gatekeeper) Size() (ready, listed int) {
+	for _, r := range g.known {
+		if r {
+			ready++
+		}
+	}
+	return ready, len(g.known)
+}
 
 // Advance does what has come due.
 func (g *Gatekeeper) Advance() {
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -182,7 +182,8 @@
 	if !r.Ready() {
 		t.Fatal("not ready with one worker left")
 	}
-	r.Workers(policy.FullList, nil)
+	r.Workers(policy.Delta, []policy.Entry{{Server: 2, State: policy.Gone}})
+	r.expect(t, "release 1", "release 2")
 	if r.Ready() {
 		t.Fatal("ready without workers")
 	}
--- a/internal/link/counter.go
+++ b/internal/link/counter.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"log"
 	"math"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 const (
 	counterLanes  = 4      // a lane is one connection; fewer than the budget has
 	counterIdle   = 4000.0 // milliseconds: the counter closes at 10 s or earlier
+	counterTell   = 1000.0 // milliseconds between two log lines
 	counterSilent = 1500.0 // milliseconds without the answer that is next in turn
 )
 
@@ -31,6 +33,7 @@
 	patience time.Duration
 	lanes    [counterLanes]lane
 	out      []byte
+	toldAt   float64 // when the log last said that it is not reached
 }
 
 type lane struct {
@@ -111,8 +114,12 @@
 	}
 }
 
-func (l *counterLink) failed(error) {
+func (l *counterLink) failed(err error) {
 	l.lane.opening = false
+	if s := l.set; s.clock.Now()-s.toldAt > counterTell {
+		s.toldAt = s.clock.Now()
+		log.Printf("counter: not reached, the slices decide alone: %v", err)
+	}
 	waiting := l.lane.waiting
 	l.lane.waiting = nil
 	l.set.fail(waiting)
--- a/internal/openapi/description.go
+++ b/internal/openapi/description.go
@@ -257,3 +257,19 @@
 	}
 	return true
 }
+
+// Rule is how a route is to be served by a proxy that has no module of its own.
+type Rule struct {
+	Method   string
+	Segments []string // of the path; an empty one is a parameter
+	Terms    policy.Class
+}
+
+// Rules lists the routes, the most literal first.
+func (d *Description) Rules() []Rule {
+	rules := make([]Rule, len(d.routes))
+	for i, r := range d.routes {
+		rules[i] = Rule{r.method, r.segments, d.classes[r.class].terms}
+	}
+	return rules
+}
--- a/internal/openapi/front.go
+++ b/internal/openapi/front.go
@@ -107,6 +107,9 @@
 	f.core.SetClasses(f.Classes())
 }
 
+// Rules lists the routes in force.
+func (f *Front) Rules() []Rule { return f.now.Rules() }
+
 // adopt gives each class of a description its place. A class whose terms change
 // gets another place, so that what was taken before keeps its own.
 func (f *Front) adopt(d *Description) {
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"log"
 	"slices"
 
 	"foxwood/gatekeeper"
@@ -14,12 +15,13 @@
 
 // List is discovery's list of workers, whole or as changes.
 type List struct {
-	Generation int64  `json:"generation"`
-	Reset      bool   `json:"reset"`
-	Instances  []item `json:"instances"`
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []Instance `json:"instances"`
 }
 
-type item struct {
+// Instance is one worker of a list.
+type Instance struct {
 	ID        string  `json:"instanceId"`
 	Addr      string  `json:"hostPort"`
 	Zone      string  `json:"zone"`
@@ -74,6 +76,8 @@
 	}
 	g.version = l.Generation
 	g.Core.Workers(kind, entries)
+	ready, listed := g.Core.Size()
+	log.Printf("host group: version %d, %d ready of %d", g.version, ready, listed)
 }
 
 // lifecycle reads a state. One that is not known is taken for draining: it gets
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"foxwood/internal/openapi"
 	"foxwood/internal/platform"
 	"foxwood/internal/settings"
+	"foxwood/internal/xds"
 	"foxwood/policy"
 )
 
@@ -39,10 +40,13 @@
 
 	// OpenAPI is not on the platform: an operator's file sets the front up by it.
 	OpenAPI *openapi.Config `json:"openapi"`
+	// XDS is the address to hand decisions off at; nothing is served if empty.
+	XDS string `json:"xds"`
 }
 
 const (
-	sweepEvery = 250 * time.Millisecond
+	sweepEvery   = 250 * time.Millisecond
+	handOffEvery = 200 * time.Millisecond
 	// lateArrivals is how long after SIGTERM requests may still come in.
 	lateArrivals = 800 * time.Millisecond
 	closeIdle    = 450 * time.Millisecond
@@ -85,6 +89,7 @@
 	clients *link.Clients
 	hosts   *platform.HostGroup
 	api     *openapi.Front // nil on the platform
+	xds     *xds.Server    // nil unless configured
 }
 
 // Run serves until SIGTERM, and then until what was taken is answered.
@@ -151,6 +156,11 @@
 	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets))); err != nil {
 		return nil, err
 	}
+	if c.XDS != "" {
+		if s.xds, err = xds.Listen(c.XDS); err != nil {
+			return nil, err
+		}
+	}
 	connectMost, idleMost := float64(names.ConnectMost)/1000, float64(names.ConnIdle)/1000*restMost
 	fleet := link.NewFleet(s.loop, clock, f, connectMost, idleMost)
 	counter := link.NewCounter(s.loop, clock, c.Counter, counterPath, connectMost)
@@ -178,12 +188,34 @@
 			counter.Sweep()
 			watch.Sweep()
 		})
+		if s.xds != nil {
+			s.loop.Every(handOffEvery, func() { s.handOff(fleet, set, names) })
+		}
 		close(started)
 	})
 	<-started
 	return s, nil
 }
 
+// handOff tells other proxies what the module thinks at present.
+func (s *service) handOff(fleet *link.Fleet, set policy.Settings, names settings.Names) {
+	standings, bound := s.core.Standings()
+	st := xds.State{Bound: bound, Connect: time.Duration(names.ConnectMost) * time.Microsecond, Attempts: set.MaxAttempts}
+	for _, x := range standings {
+		e := xds.Endpoint{Address: fleet.Address(x.Server), Standing: x}
+		if x.Zone < len(names.Zones) {
+			e.Zone = names.Zones[x.Zone]
+		}
+		st.Endpoints = append(st.Endpoints, e)
+	}
+	if s.api != nil {
+		st.Rules = s.api.Rules()
+	}
+	if err := s.xds.Set(st); err != nil {
+		log.Print(err)
+	}
+}
+
 func describe(file string) (*openapi.Description, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // The records a gateway keeps and the plumbing around them. Nothing is decided
 // here; the decisions are in policy.go.
@@ -380,6 +383,25 @@
 	})
 }
 
+// Standings tells what the module thinks of its servers, and how many attempts it
+// would have out at once. It changes nothing.
+func (g *Gateway) Standings(now Micros) (list []Standing, bound float64) {
+	g.now = now
+	for _, s := range g.servers {
+		if !s.listed {
+			continue
+		}
+		part := 1 / (g.relOf(s) * g.dear(s))
+		if g.cold(s) {
+			part *= g.warmth(s)
+		}
+		shut := s.ejected && now < s.retryAt || now < s.fullUntil
+		list = append(list, Standing{Server: s.id, State: s.e.State, Shut: shut, Part: part, Zone: s.e.Zone})
+	}
+	slices.SortFunc(list, func(a, b Standing) int { return cmp.Compare(a.Server, b.Server) })
+	return list, g.bound
+}
+
 // SetClasses replaces the table of classes while requests are under way. They keep
 // the terms they came with, and held ones the place that those give them. A class
 // that stays as it is in its place keeps what was learned of it.
--- a/policy/types.go
+++ b/policy/types.go
@@ -136,6 +136,16 @@
 	ReadyAt    Micros // latest start, 0 for long ago
 }
 
+// Standing is what the module thinks of a listed server at present, for other
+// proxies that choose by it.
+type Standing struct {
+	Server Server
+	State  State
+	Shut   bool    // kept from requests for a while, for failures or as full
+	Part   float64 // of the requests it should get, against the others'
+	Zone   int
+}
+
 // ListKind tells how to read a list.
 type ListKind int
 
