--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -251,8 +251,8 @@
 			delete(g.known, e.Server)
 		}
 	}
-	for id := range before {
-		if !g.known[id] {
+	for id, was := range before {
+		if was && !g.known[id] {
 			g.fleet.Release(id)
 		}
 	}
