Let a link's last answer reach its client, and end links that bring nothing

Seen in tests over loopback: a client still sending an oversized body got a reset in place of its 413 (close with bytes unread), and the last of 100 large answers asked for ahead was cut short (gnet's close tries once to send what is left). Client.answer called shut at once. Links now stop sending, drop what still comes, and close when the client does or after a second.

Also: a request that does not come in within 10 s ends its link, which before used up the budget without ever counting as idle; a drain leaves a link that was just opened the 100 ms in which its request comes; the clock follows the system's at a tenth where that is set anew; a broken watch is told once.

Seen to fail without the change: the tests of the oversized body, of the 100 answers and of the request that never ends. The clock has a table of its own. Not tested: the 100 ms at a drain, the watch that is told once, and the 4 MiB of unread answers past which a link ends, for which no test was found that waits on an event.

--- a/gatekeeper/clock.go
+++ b/gatekeeper/clock.go
@@ -8,18 +8,27 @@
 
 // Clock tells the time in milliseconds since the Unix epoch. It is the only
 // clock of a gatekeeper: all gatekeepers share the system's, since the windows
-// of the shared counter are named by it. It never goes backwards.
+// of the shared counter are named by it. It never goes backwards: where the
+// system's is set anew, it gains or loses a tenth until they agree.
 type Clock struct {
-	base  time.Time // read once; its monotonic part carries on from there
-	first float64
-	fixed bool
-	at    float64
+	system func() (wall, running float64)
+	ran    float64
+	at     float64
+	fixed  bool
 }
 
+// slew is the part of the time gone by that may be made up for.
+const slew = 0.1
+
 // NewClock makes a clock that follows the system's.
 func NewClock() *Clock {
-	now := time.Now()
-	return &Clock{base: now, first: float64(now.UnixNano()) / 1e6}
+	start := time.Now()
+	c := &Clock{system: func() (wall, running float64) {
+		now := time.Now()
+		return float64(now.UnixNano()) / 1e6, float64(now.Sub(start)) / 1e6
+	}}
+	c.at, c.ran = c.system()
+	return c
 }
 
 // Now is the time in milliseconds.
@@ -27,7 +36,12 @@
 	if c.fixed {
 		return c.at
 	}
-	return c.first + float64(time.Since(c.base))/1e6
+	wall, ran := c.system()
+	gone := ran - c.ran
+	c.ran = ran
+	c.at += gone
+	c.at += min(max(wall-c.at, -slew*gone), slew*gone)
+	return c.at
 }
 
 // Set stops the clock at a time, for tests.
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -206,3 +206,17 @@
 		t.Fatal(diff)
 	}
 }
+
+// TestTheClockFollowsTheSystemsWithoutGoingBack guards the counter's windows, which
+// all gatekeepers must name alike, and the timers, which must not wait for a clock
+// that was set back.
+func TestTheClockFollowsTheSystemsWithoutGoingBack(t *testing.T) {
+	wall, ran := 5000.0, 0.0
+	c := &Clock{system: func() (float64, float64) { return wall, ran }}
+	c.at, c.ran = c.system()
+	step := func(set float64) float64 { wall += 100 + set; ran += 100; return c.Now() }
+	got := []float64{step(0), step(-50), step(0), step(15), step(0)}
+	if diff := cmp.Diff([]float64{5100, 5190, 5280, 5370, 5465}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -17,6 +18,14 @@
 	Handle(l *Client, m *http1.Message)
 }
 
+const (
+	justOpened = 100.0   // milliseconds
+	lingerMost = 1000.0  // for a client to close after its last answer
+	readMost   = 10000.0 // for a request to come in
+
+	unreadMost = 4 << 20 // bytes of answers that a client has not read
+)
+
 // backlogMost bounds what a client sends ahead of its answers.
 const backlogMost = http1.MaxHead + http1.MaxBody
 
@@ -34,11 +43,14 @@
 	prev    *Client // the links without a request, longest idle first
 	next    *Client
 	idle    bool
+	deaf    bool    // its last answer is given: what still comes is dropped
+	since   float64 // idle or deaf since, or busy with reading one request since
 }
 
 // Clients is all client links of a gatekeeper.
 type Clients struct {
 	loop     *Loop
+	clock    *gatekeeper.Clock
 	front    Front
 	core     *gatekeeper.Gatekeeper
 	all      map[*Client]bool
@@ -49,8 +61,8 @@
 }
 
 // NewClients makes the set of client links.
-func NewClients(l *Loop, core *gatekeeper.Gatekeeper, f Front) *Clients {
-	return &Clients{loop: l, core: core, front: f, all: map[*Client]bool{}}
+func NewClients(l *Loop, clock *gatekeeper.Clock, core *gatekeeper.Gatekeeper, f Front) *Clients {
+	return &Clients{loop: l, clock: clock, core: core, front: f, all: map[*Client]bool{}}
 }
 
 // Make makes the object of a connection that was accepted.
@@ -62,15 +74,42 @@
 // Draining tells whether the gatekeeper is going away.
 func (s *Clients) Draining() bool { return s.draining }
 
-// CloseIdle closes the links on which nothing has begun.
+// CloseIdle closes the links on which nothing has begun for a while. One that has
+// just been opened is about to bring a request, perhaps one that was sent again.
 func (s *Clients) CloseIdle() {
-	for s.first != nil {
-		s.first.shut()
+	for l := s.first; l != nil; {
+		after := l.next
+		if s.clock.Now()-l.since > justOpened && l.c.OutboundBuffered() == 0 {
+			l.shut()
+		}
+		l = after
+	}
+}
+
+// Sweep ends links whose client does not bring its request to an end, so that they
+// do not use the budget up, and those whose client did not close them either.
+func (s *Clients) Sweep() {
+	now := s.clock.Now()
+	for l := range s.all {
+		switch waited := now - l.since; {
+		case l.deaf && waited > lingerMost, !l.deaf && !l.busy && !l.idle && waited > readMost:
+			l.shut()
+		case l.deaf:
+			l.halfClose()
+		}
 	}
 }
 
-// Len is the number of open client links.
-func (s *Clients) Len() int { return len(s.all) }
+// Len is the number of open client links on which something may still be owed.
+func (s *Clients) Len() int {
+	n := 0
+	for l := range s.all {
+		if !l.deaf || l.c.OutboundBuffered() > 0 {
+			n++
+		}
+	}
+	return n
+}
 
 func (l *Client) opened(c gnet.Conn) {
 	s := l.set
@@ -87,6 +126,7 @@
 func (l *Client) rest() {
 	s := l.set
 	l.idle, l.prev, l.next = true, s.last, nil
+	l.since = s.clock.Now()
 	if s.last != nil {
 		s.last.next = l
 	} else {
@@ -111,9 +151,13 @@
 		s.last = l.prev
 	}
 	l.idle, l.prev, l.next = false, nil, nil
+	l.since = s.clock.Now()
 }
 
 func (l *Client) traffic(b []byte) {
+	if l.deaf {
+		return
+	}
 	if l.busy || len(l.backlog) > 0 {
 		if len(l.backlog)+len(b) > backlogMost {
 			l.shut()
@@ -127,7 +171,7 @@
 
 // read takes requests out of b until one is busy. What is left waits.
 func (l *Client) read(b []byte) {
-	for len(b) > 0 && !l.dead {
+	for len(b) > 0 && !l.dead && !l.deaf {
 		l.wakeUp()
 		n, done, err := l.parser.Feed(b)
 		b = b[n:]
@@ -225,8 +269,8 @@
 	if l.dead {
 		return
 	}
-	if end {
-		l.shut()
+	if end || l.c.OutboundBuffered() > unreadMost {
+		l.finish() // also for a client that asks on and reads nothing
 		return
 	}
 	l.parser.Reset()
@@ -242,9 +286,24 @@
 	l.read(b)
 }
 
+// finish ends a link behind its last answer. It only stops sending and drops what
+// still comes: to close with bytes unread would reset the connection, and to close
+// with bytes unsent would lose them; the client might see no answer either way.
+func (l *Client) finish() {
+	l.deaf, l.backlog = true, nil
+	l.halfClose()
+	l.rest() // the first to go where links are short
+}
+
+func (l *Client) halfClose() {
+	if l.c.OutboundBuffered() == 0 {
+		_ = syscall.Shutdown(l.c.Fd(), syscall.SHUT_WR)
+	}
+}
+
 // settle marks the link idle where nothing has begun on it.
 func (l *Client) settle() {
-	if !l.dead && !l.busy && !l.idle && !l.parser.Started() && len(l.backlog) == 0 {
+	if !l.dead && !l.deaf && !l.busy && !l.idle && !l.parser.Started() && len(l.backlog) == 0 {
 		l.rest()
 	}
 }
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -28,6 +28,8 @@
 	path  func() string
 	line  func([]byte) error
 	open  *watchLink
+
+	broken bool
 }
 
 type watchLink struct {
@@ -101,6 +103,7 @@
 			if l.err = l.w.line(line); l.err != nil {
 				return
 			}
+			l.w.broken = false
 		}
 		l.line = l.line[:0]
 	}
@@ -117,6 +120,9 @@
 	if l.w.loop.stopped.Load() {
 		return
 	}
-	log.Printf("discovery: watch broken, asking again: %v", err)
+	if !l.w.broken { // told once, until it works again
+		l.w.broken = true
+		log.Printf("discovery: watch broken, asking again: %v", err)
+	}
 	time.AfterFunc(watchAgain, func() { l.w.loop.Post(l.w.Start) })
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -84,6 +84,7 @@
 // service is a gatekeeper and its parts.
 type service struct {
 	config  config
+	clock   *gatekeeper.Clock
 	loop    *link.Loop
 	core    *gatekeeper.Gatekeeper
 	clients *link.Clients
@@ -140,8 +141,8 @@
 	if set.Counter && c.Counter == "" {
 		return nil, errors.New("configuration: the settings allow a counter, but none is named")
 	}
-	s := &service{config: c}
 	clock := gatekeeper.NewClock()
+	s := &service{config: c, clock: clock}
 	var f front = platform.NewFront(set, names, func() bool { return s.core.Ready() && !s.clients.Draining() })
 	if c.OpenAPI != nil {
 		d, err := describe(c.OpenAPI.Description)
@@ -173,7 +174,7 @@
 		})
 		fleet.Attach(s.core)
 		counter.Attach(s.core)
-		s.clients = link.NewClients(s.loop, s.core, f)
+		s.clients = link.NewClients(s.loop, clock, s.core, f)
 		if s.api != nil {
 			s.api.Attach(s.core, s.clients.Draining)
 		}
@@ -184,6 +185,7 @@
 			watch.Start()
 		}
 		s.loop.Every(sweepEvery, func() {
+			s.clients.Sweep()
 			fleet.Sweep()
 			counter.Sweep()
 			watch.Sweep()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -196,6 +196,55 @@
 	}
 }
 
+// TestAnAnswerReachesAClientThatIsStillSending: to close at once would reset the
+// connection, and the client might never see why it was rejected.
+func TestAnAnswerReachesAClientThatIsStillSending(t *testing.T) {
+	g := open(t, nil)
+	c := g.dial().send("POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n")
+	for range 9 {
+		c.send(strings.Repeat("x", 100000))
+	}
+	if res, _ := c.get(); res.StatusCode != 413 {
+		t.Fatalf("status %d", res.StatusCode)
+	}
+	c.ended()
+}
+
+// TestARequestThatNeverEndsIsNotWaitedFor guards the budget against links that look
+// busy and bring nothing.
+func TestARequestThatNeverEndsIsNotWaitedFor(t *testing.T) {
+	g := open(t, nil)
+	slow, idle := g.dial().send("GET /api HTTP/1.1\r\nHost"), g.dial()
+	if res, _ := idle.ask("GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n"); res.StatusCode != 200 {
+		t.Fatalf("live: %d", res.StatusCode)
+	}
+	g.loop.Post(func() { g.clock.Set(g.clock.Now() + 11000) })
+	slow.ended()
+	if res, _ := idle.ask("GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n"); res.StatusCode != 200 {
+		t.Fatalf("a link at rest got %d", res.StatusCode)
+	}
+}
+
+// TestALargeLastAnswerIsSentWhole: what the socket did not take at once must not be
+// lost with the link.
+func TestALargeLastAnswerIsSentWhole(t *testing.T) {
+	const many = 100 // more than the buffers between the two take
+	big := strings.Repeat("x", 64<<10)
+	addr, got := worker(t, say("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n"+big))
+	c := open(t, nil, addr).dial()
+	c.send(strings.Repeat(cuota("mayor", 1900), many-1))
+	c.send(strings.Replace(cuota("mayor", 1900), "Host", "Connection: close\r\nHost", 1))
+	for range many {
+		next(t, got)
+	}
+	for n := range many {
+		if _, body := c.get(); body != big {
+			t.Fatalf("answer %d has %d bytes of %d", n, len(body), len(big))
+		}
+	}
+	c.ended()
+}
+
 // TestDiscoveryIsAskedAgainFromWhatIsHeld guards against losing the changes made
 // while a watch was broken.
 func TestDiscoveryIsAskedAgainFromWhatIsHeld(t *testing.T) {
