Hand draining workers off as draining; defaults for an operator's short file

A story through the whole service showed a stand-in proxy an empty list where a worker drained: the hand-off asked the fleet for the address, and Fleet.drop forgets a worker that has no links left. The host group now keeps the addresses of all that are listed. The test failed before.

Signals are taken from before the start, so an early SIGTERM drains too.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -98,14 +98,6 @@
 	}
 }
 
-// Address is where a worker listens, empty where it is not known.
-func (f *Fleet) Address(id policy.Server) string {
-	if w := f.workers[id]; w != nil {
-		return w.addr
-	}
-	return ""
-}
-
 func (f *Fleet) drop(w *worker) {
 	if w.gone && w.links == 0 && len(w.queue) == 0 && f.workers[w.id] == w {
 		delete(f.workers, w.id)
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -39,8 +39,12 @@
 	Names settings.Names
 
 	version int64
+	addrs   map[policy.Server]string // of the listed workers, draining ones too
 }
 
+// Address is where a listed worker listens, empty where it is not known.
+func (g *HostGroup) Address(id policy.Server) string { return g.addrs[id] }
+
 // Path asks for a watch of what comes after the version held.
 func (g *HostGroup) Path() string {
 	return fmt.Sprintf("/registry/instances?stream=1&index=%d", g.version)
@@ -63,13 +67,19 @@
 // Apply takes a list.
 func (g *HostGroup) Apply(kind policy.ListKind, l List) {
 	entries := make([]policy.Entry, 0, len(l.Instances))
+	if kind != policy.Delta || g.addrs == nil {
+		g.addrs = map[policy.Server]string{}
+	}
 	for _, it := range l.Instances {
 		e := policy.Entry{
 			Server: serverID(it.ID), State: lifecycle(it.Lifecycle), Weight: it.Weight,
 			Zone: max(slices.Index(g.Names.Zones, it.Zone), 0), Cell: it.Cell,
 			Kind: max(slices.Index(g.Names.Kinds, it.Kind), 0), ReadyAt: policy.Micros(it.Started * 1000),
 		}
-		if e.State != policy.Gone {
+		if e.State == policy.Gone {
+			delete(g.addrs, e.Server)
+		} else {
+			g.addrs[e.Server] = it.Addr
 			g.Fleet.Place(e.Server, it.Addr)
 		}
 		entries = append(entries, e)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -100,6 +101,8 @@
 		return err
 	}
 	tune(c.Limits.MemoryMB)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := start(c)
 	if err != nil {
 		return err
@@ -111,8 +114,6 @@
 	go listener.Accept(s.loop, s.clients.Make)
 	log.Printf("%s serves at %s with %d workers known", c.Name, c.Listen, len(c.Known.Instances))
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for got := range signals {
 		if got != syscall.SIGHUP {
 			log.Printf("%s drains after %v", c.Name, got)
@@ -134,9 +135,11 @@
 	if err != nil {
 		return nil, err
 	}
-	seed, err := strconv.ParseUint(c.Seed, 16, 64)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: seed: %w", err)
+	seed := rand.Uint64()
+	if c.Seed != "" { // an operator's file need not have one
+		if seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("configuration: seed: %w", err)
+		}
 	}
 	if set.Counter && c.Counter == "" {
 		return nil, errors.New("configuration: the settings allow a counter, but none is named")
@@ -191,7 +194,7 @@
 			watch.Sweep()
 		})
 		if s.xds != nil {
-			s.loop.Every(handOffEvery, func() { s.handOff(fleet, set, names) })
+			s.loop.Every(handOffEvery, func() { s.handOff(set, names) })
 		}
 		close(started)
 	})
@@ -200,11 +203,11 @@
 }
 
 // handOff tells other proxies what the module thinks at present.
-func (s *service) handOff(fleet *link.Fleet, set policy.Settings, names settings.Names) {
+func (s *service) handOff(set policy.Settings, names settings.Names) {
 	standings, bound := s.core.Standings()
 	st := xds.State{Bound: bound, Connect: time.Duration(names.ConnectMost) * time.Microsecond, Attempts: set.MaxAttempts}
 	for _, x := range standings {
-		e := xds.Endpoint{Address: fleet.Address(x.Server), Standing: x}
+		e := xds.Endpoint{Address: s.hosts.Address(x.Server), Standing: x}
 		if x.Zone < len(names.Zones) {
 			e.Zone = names.Zones[x.Zone]
 		}
@@ -265,8 +268,11 @@
 // system allows where that is less.
 func descriptors(told int) int {
 	var lim syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < uint64(told) {
-		return int(lim.Cur)
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
+		return told
+	}
+	if allowed := int(min(lim.Cur, 1<<20)); told <= 0 || allowed < told {
+		return allowed
 	}
 	return told
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,7 +14,15 @@
 	"testing"
 	"time"
 
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"github.com/envoyproxy/go-control-plane/pkg/resource/v3"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"foxwood/internal/xds"
 )
 
 func TestARequestPassesUnchangedBothWays(t *testing.T) {
@@ -470,3 +479,45 @@
 		t.Error("a small customer is never throttled")
 	}
 }
+
+// TestAProxyHearsOfADrainThroughXDS plays the hand-off from the host group to a
+// stand-in proxy.
+func TestAProxyHearsOfADrainThroughXDS(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	g := open(t, func(c *config) { c.XDS = "127.0.0.1:0" }, addr)
+	conn, err := grpc.NewClient(g.xds.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	stream, err := discoveryv3.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := &discoveryv3.DiscoveryRequest{TypeUrl: resource.EndpointType, ResourceNames: []string{xds.Cluster}}
+	for _, want := range []corev3.HealthStatus{corev3.HealthStatus_HEALTHY, corev3.HealthStatus_DRAINING} {
+		if err := stream.Send(ask); err != nil {
+			t.Fatal(err)
+		}
+		res, err := stream.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a endpointv3.ClusterLoadAssignment
+		if err := res.GetResources()[0].UnmarshalTo(&a); err != nil {
+			t.Fatal(err)
+		}
+		if got := a.GetEndpoints()[0].GetLbEndpoints()[0].GetHealthStatus(); got != want {
+			t.Fatalf("told %v, want %v", got, want)
+		}
+		ask.VersionInfo, ask.ResponseNonce = res.GetVersionInfo(), res.GetNonce()
+		g.loop.Post(func() {
+			line := strings.Replace(member(0, addr), `"ready"`, `"draining"`, 1)
+			if err := g.hosts.Line([]byte(`{"generation":8,"instances":[` + line + `]}`)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -141,6 +141,9 @@
 	go ln.Accept(s.loop, s.clients.Make)
 	t.Cleanup(func() {
 		ln.Close()
+		if s.xds != nil {
+			s.xds.Stop()
+		}
 		if err := s.loop.Stop(); err != nil {
 			t.Error(err)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,12 @@
 	ConnIdle, ConnectMost        policy.Micros
 }
 
+// What holds where an operator's settings say nothing of connections.
+const (
+	defaultIdle    = policy.Micros(10e6)
+	defaultConnect = policy.Micros(250e3)
+)
+
 // Parse reads the text of a settings object.
 func Parse(text []byte) (policy.Settings, Names, error) {
 	var p profile
@@ -89,6 +95,12 @@
 		return policy.Settings{}, Names{}, fmt.Errorf("settings: %w", err)
 	}
 	names := Names{Zones: p.Areas, Kinds: p.Kinds, ConnIdle: p.Limits.ConnIdle, ConnectMost: p.Limits.ConnectMost}
+	if names.ConnIdle <= 0 {
+		names.ConnIdle = defaultIdle
+	}
+	if names.ConnectMost <= 0 {
+		names.ConnectMost = defaultConnect
+	}
 	s := policy.Settings{
 		Self: p.SelfIndex, Gateways: p.Siblings, Zone: p.Locality, Tick: p.Tick,
 		AskDiscovery: p.Discovery == "ask",
