--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -297,7 +297,7 @@
 	case "HTTP/1.0":
 		return true, nil
 	}
-	return false, &Error{Status: 505, Reason: "the HTTP version is not 1.1"}
+	return false, bad("the HTTP version is not 1.1")
 }
 
 func (p *Parser) statusLine(line []byte) (old bool, err error) {
@@ -320,7 +320,7 @@
 		switch {
 		case equalFold(f.name, "transfer-encoding"):
 			if chunked || old || !equalFold(f.value, "chunked") {
-				return &Error{Status: 501, Reason: "a transfer encoding other than chunked"}
+				return bad("a transfer encoding other than chunked")
 			}
 			chunked = true
 		case equalFold(f.name, "content-length"):
