Make foxwood one program with sub-commands, structured logs and an HCL file

foxwood now has run, check, import nginx and version (cobra); bare foxwood runs by EDGE_CONFIG as before. internal/config reads the platform's JSON, the JSON operator's file and an HCL one into the same settings; faults of the file and of the description name file and line, unknown keys are refused. The pool names a transport, of which only one-at-a-time is built so far.

--- a/cmd/foxwood/main.go
+++ b/cmd/foxwood/main.go
@@ -1,15 +1,11 @@
-// Command foxwood is a gatekeeper. EDGE_CONFIG names its configuration.
+// Command foxwood is a gatekeeper and the tools around it. Without arguments it runs
+// by the configuration that EDGE_CONFIG names.
 package main
 
 import (
-	"log"
+	"os"
 
-	"foxwood/internal/service"
+	"foxwood/internal/command"
 )
 
-func main() {
-	log.SetFlags(log.LUTC | log.Ltime | log.Lmicroseconds)
-	if err := service.Run(); err != nil {
-		log.Fatalf("foxwood: %v", err)
-	}
-}
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestTheExitStatusTellsWhoseFaultItIs guards what scripts go by: 1 where the work
+// failed, 2 where the call was wrong.
+func TestTheExitStatusTellsWhoseFaultItIs(t *testing.T) {
+	faulty := filepath.Join(t.TempDir(), "faulty.yaml")
+	text, err := os.ReadFile("../../deploy/calculadora.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(faulty, []byte(strings.ReplaceAll(string(text), "units:", "unids:")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	conf := filepath.Join(t.TempDir(), "c.hcl")
+	hcl, err := os.ReadFile("../../deploy/operator.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(conf, []byte(strings.Replace(string(hcl), "deploy/calculadora.yaml", faulty, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("EDGE_CONFIG", "")
+	for name, c := range map[string]struct {
+		args   []string
+		status int
+		says   []string
+	}{
+		"help":             {[]string{"--help"}, ok, []string{"run", "check", "import", "version"}},
+		"version":          {[]string{"version"}, ok, []string{"foxwood, commit"}},
+		"no configuration": {nil, failed, []string{"EDGE_CONFIG"}},
+		"no such command":  {[]string{"serve"}, usage, []string{"serve", "--help"}},
+		"no such flag":     {[]string{"run", "--fast"}, usage, []string{"--fast"}},
+		"no such log":      {[]string{"version", "--log", "xml"}, usage, []string{"neither text nor json"}},
+		"no upstream":      {[]string{"import", "nginx", "f"}, usage, []string{"--upstream"}},
+		"two faults":       {[]string{"check", conf}, failed, []string{"faulty.yaml:13: GET /cuota", "faulty.yaml:22: POST /simulacion", "2 faults"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			if got := Main(c.args, &out, &out); got != c.status {
+				t.Errorf("status %d, want %d", got, c.status)
+			}
+			for _, s := range c.says {
+				if !strings.Contains(out.String(), s) {
+					t.Errorf("%q is not in\n%s", s, out.String())
+				}
+			}
+		})
+	}
+}
--- a/internal/link/counter.go
+++ b/internal/link/counter.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"log"
+	"log/slog"
 	"math"
 	"slices"
 	"strconv"
@@ -173,7 +173,7 @@
 	l.lane.next = nil
 	if s := l.set; s.clock.Now()-s.toldAt > counterTell {
 		s.toldAt = s.clock.Now()
-		log.Printf("counter: not reached, the slices decide alone: %v", err)
+		slog.Warn("counter: not reached, the slices decide alone", "error", err)
 	}
 	waiting := l.lane.waiting
 	l.lane.waiting = nil
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -11,7 +11,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"sync/atomic"
@@ -101,7 +101,7 @@
 func (l *Loop) Post(do func()) {
 	run := gnet.RunnableFunc(func(context.Context) error { do(); return nil })
 	if err := l.events.Execute(context.Background(), run); err != nil && !l.stopped.Load() {
-		log.Printf("loop: call not taken: %v", err)
+		slog.Error("loop: call not taken", "error", err)
 	}
 }
 
@@ -208,7 +208,7 @@
 			return
 		}
 		if err != nil {
-			log.Printf("client link not accepted: %v", err)
+			slog.Warn("client link not accepted", "error", err)
 			time.Sleep(pause)
 		}
 	}
@@ -226,5 +226,5 @@
 func (quiet) Debugf(string, ...any)          {}
 func (quiet) Infof(string, ...any)           {}
 func (quiet) Warnf(string, ...any)           {}
-func (quiet) Errorf(f string, a ...any)      { log.Printf("gnet: "+f, a...) }
-func (quiet) Fatalf(format string, a ...any) { log.Printf("gnet: "+format, a...) }
+func (quiet) Errorf(format string, a ...any) { slog.Error("gnet: " + fmt.Sprintf(format, a...)) }
+func (quiet) Fatalf(format string, a ...any) { slog.Error("gnet: " + fmt.Sprintf(format, a...)) }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -41,16 +41,17 @@
 
 // Fleet holds the server links. It implements gatekeeper.Fleet.
 type Fleet struct {
-	loop     *Loop
-	core     *gatekeeper.Gatekeeper
-	reader   Reader
-	clock    *gatekeeper.Clock
-	workers  map[policy.Server]*worker
-	patience time.Duration // for a connection to come up
-	idleMost float64       // milliseconds that a link may rest
-	links    int           // open or being opened
-	openings int
-	out      []byte
+	loop      *Loop
+	core      *gatekeeper.Gatekeeper
+	reader    Reader
+	clock     *gatekeeper.Clock
+	workers   map[policy.Server]*worker
+	patience  time.Duration // for a connection to come up
+	idleMost  float64       // milliseconds that a link may rest
+	links     int           // open or being opened
+	openings  int
+	out       []byte
+	transport Transport
 }
 
 // worker is one server and the links to it.
@@ -82,8 +83,8 @@
 
 // NewFleet makes a fleet without workers. Links are retired when they have rested
 // for idleMost milliseconds.
-func NewFleet(l *Loop, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64) *Fleet {
-	return &Fleet{loop: l, clock: clock, reader: r, workers: map[policy.Server]*worker{},
+func NewFleet(l *Loop, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64, t Transport) *Fleet {
+	return &Fleet{loop: l, clock: clock, reader: r, workers: map[policy.Server]*worker{}, transport: t.filled(),
 		patience: time.Duration(connectMost * float64(time.Millisecond)), idleMost: idleMost}
 }
 
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"fmt"
-	"log"
+	"log/slog"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -148,7 +148,7 @@
 	}
 	if !l.w.broken { // told once, until it works again
 		l.w.broken = true
-		log.Printf("discovery: watch broken, asking again: %v", err)
+		slog.Warn("discovery: watch broken, asking again", "error", err)
 	}
 	time.AfterFunc(watchAgain, func() { l.w.loop.Post(l.w.Start) })
 }
--- a/internal/openapi/description.go
+++ b/internal/openapi/description.go
@@ -91,7 +91,7 @@
 		slices.Sort(methods)
 		for _, m := range methods {
 			if err := d.add(m, base+path, operations[m], common); err != nil {
-				faults = append(faults, fmt.Errorf("%s %s: %w", m, path, err))
+				faults = append(faults, &Fault{Line: lineOf(text, m, path), err: fmt.Errorf("%s %s: %w", m, path, err)})
 			}
 		}
 	}
--- a/internal/openapi/front.go
+++ b/internal/openapi/front.go
@@ -17,11 +17,16 @@
 
 // Config is how an operator sets the front up.
 type Config struct {
-	Description  string            `json:"description"`  // file, read again at SIGHUP
-	CustomerHead string            `json:"customer"`     // header that names the customer
-	Plans        map[string]string `json:"plans"`        // customer to plan
-	DefaultPlan  string            `json:"default-plan"` // of other customers; they are refused if empty
-	DeadlineHead string            `json:"deadline"`     // header with the milliseconds a client waits
+	// Description is a file, read again at SIGHUP.
+	Description string `json:"description" hcl:"description"`
+	// CustomerHead is the header that names the customer.
+	CustomerHead string `json:"customer" hcl:"customer"`
+	// Plans is the plan of each customer.
+	Plans map[string]string `json:"plans" hcl:"plans,optional"`
+	// DefaultPlan is that of other customers; they are refused if it is empty.
+	DefaultPlan string `json:"default-plan" hcl:"default_plan,optional"`
+	// DeadlineHead is the header with the milliseconds a client waits.
+	DeadlineHead string `json:"deadline" hcl:"deadline,optional"`
 }
 
 // Core is what the front needs of the gatekeeper.
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"log"
+	"log/slog"
 	"slices"
 
 	"foxwood/gatekeeper"
@@ -87,7 +87,7 @@
 	g.version = l.Generation
 	g.Core.Workers(kind, entries)
 	ready, listed := g.Core.Size()
-	log.Printf("host group: version %d, %d ready of %d", g.version, ready, listed)
+	slog.Info("host group", "version", g.version, "ready", ready, "listed", listed)
 }
 
 // lifecycle reads a state. One that is not known is taken for draining: it gets
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,21 +3,19 @@
 package service
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
 	"foxwood/gatekeeper"
+	"foxwood/internal/config"
 	"foxwood/internal/link"
 	"foxwood/internal/openapi"
 	"foxwood/internal/platform"
@@ -26,26 +24,6 @@
 	"foxwood/policy"
 )
 
-// config is the file that EDGE_CONFIG names.
-type config struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int `json:"sockets"`
-	} `json:"limits"`
-	Counter  string          `json:"counter"`
-	Known    platform.List   `json:"known"`
-	Settings json.RawMessage `json:"settings"`
-
-	// OpenAPI is not on the platform: an operator's file sets the front up by it.
-	OpenAPI *openapi.Config `json:"openapi"`
-	// XDS is the address to hand decisions off at; nothing is served if empty.
-	XDS string `json:"xds"`
-}
-
 const (
 	sweepEvery   = 250 * time.Millisecond
 	handOffEvery = 200 * time.Millisecond
@@ -59,23 +37,10 @@
 	restMost = 0.5
 )
 
-// readConfig reads the configuration file.
-func readConfig() (config, error) {
-	var c config
-	text, err := os.ReadFile(os.Getenv("EDGE_CONFIG"))
-	if err != nil {
-		return c, fmt.Errorf("configuration: %w", err)
-	}
-	if err := json.Unmarshal(text, &c); err != nil {
-		return c, fmt.Errorf("configuration: %w", err)
-	}
-	return c, nil
-}
-
 // environ puts what the environment says in the place of what the file says. It
 // holds for the start only: the environment of a process does not change, the file
 // may name other addresses later.
-func (c *config) environ() {
+func environ(c *config.Config) {
 	for name, field := range map[string]*string{
 		"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery,
 	} {
@@ -105,17 +70,18 @@
 	xds     *xds.Server    // nil unless configured
 }
 
-// Run serves until SIGTERM, and then until what was taken is answered.
-func Run() error {
+// Run serves by a configuration file until SIGTERM, and then until what was taken is
+// answered.
+func Run(file string) error {
 	// Each has a channel of its own, so that a burst of one can't crowd the other out.
 	stop, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(again, syscall.SIGHUP)
-	c, err := readConfig()
+	c, err := config.Read(file)
 	if err != nil {
 		return err
 	}
-	c.environ()
+	environ(&c)
 	tune(c.Limits.MemoryMB)
 	s, err := start(c)
 	if err != nil {
@@ -126,36 +92,37 @@
 		return err
 	}
 	go listener.Accept(s.loop, s.clients.Make)
-	log.Printf("%s serves at %s with %d workers known", c.Name, c.Listen, len(c.Known.Instances))
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "workers", len(c.Known.Instances), "transport", c.Transport.Carrier)
 	go func() { // also while the gatekeeper drains: what it still serves needs the counter
 		for range again {
-			if err := s.reload(); err != nil {
-				log.Printf("configuration not replaced, the old one holds: %v", err)
+			if err := s.reload(file); err != nil {
+				slog.Error("configuration not replaced, the old one holds", "error", err)
 			}
 		}
 	}()
-	log.Printf("%s drains after %v", c.Name, <-stop)
+	slog.Info("draining", "name", c.Name, "signal", (<-stop).String())
 	s.drain()
 	_ = listener.Close()
-	log.Printf("%s ends", c.Name)
+	slog.Info("ended", "name", c.Name)
 	return s.loop.Stop()
 }
 
 // start makes the parts and sets them to work, short of taking clients.
-func start(c config) (*service, error) {
-	set, names, err := settings.Parse(c.Settings)
+func start(c config.Config) (*service, error) {
+	set, names, err := c.Terms()
 	if err != nil {
 		return nil, err
 	}
-	seed := rand.Uint64()
-	if c.Seed != "" { // an operator's file need not have one
-		if seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("configuration: seed: %w", err)
-		}
+	seed, stated, err := c.SeedBits()
+	if err != nil {
+		return nil, err
+	}
+	if !stated { // an operator's file need not have one
+		seed = rand.Uint64()
 	}
 	clock := gatekeeper.NewClock()
 	s := &service{clock: clock, counts: set.Counter}
-	if err := s.checkAddresses(c); err != nil {
+	if err := c.Check(s.counts); err != nil {
 		return nil, err
 	}
 	var f front = platform.NewFront(set, names, func() bool { return s.core.Ready() && !s.clients.Draining() })
@@ -178,7 +145,7 @@
 		}
 	}
 	connectMost, idleMost := float64(names.ConnectMost)/1000, float64(names.ConnIdle)/1000*restMost
-	fleet := link.NewFleet(s.loop, clock, f, connectMost, idleMost)
+	fleet := link.NewFleet(s.loop, clock, f, connectMost, idleMost, c.Transport)
 	s.counter = link.NewCounter(s.loop, clock, c.Counter, counterPath, connectMost)
 	s.loop.OnAlarm(func() { s.core.Advance() })
 	started := make(chan struct{})
@@ -229,44 +196,32 @@
 		st.Rules = s.api.Rules()
 	}
 	if err := s.xds.Set(st); err != nil {
-		log.Print(err)
+		slog.Error("xds: not handed off", "error", err)
 	}
 }
 
+// describe reads a description; Check and the service read it alike.
 func describe(file string) (*openapi.Description, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("description: %w", err)
 	}
-	return openapi.Parse(text)
-}
-
-// checkAddresses refuses a configuration whose other parties can't be reached as it
-// names them.
-func (s *service) checkAddresses(c config) error {
-	if s.counts && c.Counter == "" {
-		return errors.New("configuration: the settings allow a counter, but none is named")
-	}
-	for name, addr := range map[string]string{"counter": c.Counter, "discovery": c.Discovery} {
-		if addr == "" {
-			continue
-		}
-		if _, err := net.ResolveTCPAddr("tcp", addr); err != nil {
-			return fmt.Errorf("configuration: %s: %w", name, err)
-		}
+	d, err := openapi.Parse(text)
+	if err != nil {
+		return nil, openapi.InFile(file, err)
 	}
-	return nil
+	return d, nil
 }
 
 // reload reads the configuration file and the description again, and puts in force
 // what may change while the gatekeeper runs: the addresses of discovery and the
 // counter, and the description. With one fault all stays as it was.
-func (s *service) reload() error {
-	c, err := readConfig()
+func (s *service) reload(file string) error {
+	c, err := config.Read(file)
 	if err != nil {
 		return err
 	}
-	if err := s.checkAddresses(c); err != nil {
+	if err := c.Check(s.counts); err != nil {
 		return err
 	}
 	var d *openapi.Description
@@ -287,10 +242,10 @@
 		if s.counts {
 			s.counter.Move(c.Counter)
 		}
-		log.Printf("configuration replaced: discovery at %s, counter at %s", c.Discovery, c.Counter)
+		slog.Info("configuration replaced", "discovery", c.Discovery, "counter", c.Counter)
 		if d != nil {
 			s.api.Replace(d)
-			log.Printf("description replaced: %d operations", d.Operations())
+			slog.Info("description replaced", "operations", d.Operations())
 		}
 	})
 	<-done
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"foxwood/internal/config"
 	"foxwood/internal/xds"
 )
 
@@ -264,7 +265,7 @@
 // makes room, and descriptors never run out.
 func TestRoomToAcceptIsKept(t *testing.T) {
 	addr, _ := worker(t, say(served))
-	g := open(t, func(c *config) { c.Limits.Sockets = 100 }, addr)
+	g := open(t, func(c *config.Config) { c.Limits.Sockets = 100 }, addr)
 	var all []*client
 	for range g.loop.Budget.Clients + 2 {
 		c := g.dial()
@@ -322,7 +323,7 @@
 // do not push out those that do.
 func TestSilentLinksMakeRoomFirst(t *testing.T) {
 	addr, _ := worker(t, say(served))
-	g := open(t, func(c *config) { c.Limits.Sockets = 100 }, addr)
+	g := open(t, func(c *config.Config) { c.Limits.Sockets = 100 }, addr)
 	usual := g.dial()
 	if res, _ := usual.ask(cuota("mayor", 900)); res.StatusCode != 200 {
 		t.Fatalf("status %d", res.StatusCode)
@@ -381,7 +382,7 @@
 			_, _ = c.Read(make([]byte, 1))
 		}
 	})
-	g := open(t, func(c *config) { c.Discovery = discovery })
+	g := open(t, func(c *config.Config) { c.Discovery = discovery })
 	if first, again := next(t, asked), next(t, asked); first != "7" || again != "9" {
 		t.Fatalf("asked from %s, then from %s", first, again)
 	}
@@ -420,7 +421,7 @@
 	}
 	first, second := agent("first"), agent("second")
 	t.Setenv("EDGE_DISCOVERY", first)
-	g := open(t, func(c *config) { c.environ() })
+	g := open(t, func(c *config.Config) { environ(c) })
 	if got := next(t, asked); got != "first from 7" {
 		t.Fatalf("asked the %s", got)
 	}
@@ -431,7 +432,7 @@
 		"counter without a port": `{"discovery":"` + second + `","counter":"127.0.0.1"}`,
 	} {
 		configured(t, text)
-		if g.reload() == nil {
+		if g.reload(os.Getenv("EDGE_CONFIG")) == nil {
 			t.Errorf("%s: taken", name)
 		}
 	}
@@ -439,7 +440,7 @@
 		t.Fatal("a file with a fault moved the watch")
 	}
 	configured(t, `{"discovery":"`+second+`"}`)
-	if err := g.reload(); err != nil {
+	if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 		t.Fatal(err)
 	}
 	if got := next(t, ended); got != "first" {
@@ -475,13 +476,13 @@
 		})
 	}
 	first, second := counter("first"), counter("second")
-	g := open(t, func(c *config) { c.Counter = first; c.Settings = counted("1500000") }, addr)
+	g := open(t, func(c *config.Config) { c.Counter = first; c.Settings = counted("1500000") }, addr)
 	one, two := g.dial().send(cuota("basico", 2000)), g.dial()
 	if got := next(t, calls); got != "first" {
 		t.Fatalf("called the %s", got)
 	}
 	configured(t, `{"counter":"`+second+`"}`)
-	if err := g.reload(); err != nil {
+	if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 		t.Fatal(err)
 	}
 	two.send(cuota("basico", 2000))
@@ -529,7 +530,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(total), total)
 		}
 	})
-	g := open(t, func(c *config) {
+	g := open(t, func(c *config.Config) {
 		c.Counter, c.Settings = counter, counted("50000")
 	})
 	g.setWorker(addr)
@@ -576,7 +577,7 @@
 					fmt.Fprint(c, text)
 				}
 			})
-			c := open(t, func(c *config) { c.Counter, c.Settings = counter, counted("1500000") }, addr).dial()
+			c := open(t, func(c *config.Config) { c.Counter, c.Settings = counter, counted("1500000") }, addr).dial()
 			begun := time.Now()
 			for want := 1; want <= 2; want++ {
 				if res, _ := c.ask(cuota("basico", 2000)); res.StatusCode != 200 {
@@ -612,7 +613,7 @@
 			}
 		}
 	})
-	g := open(t, func(c *config) { c.Counter, c.Settings = counter, counted("50000") }, addr)
+	g := open(t, func(c *config.Config) { c.Counter, c.Settings = counter, counted("50000") }, addr)
 	c := g.dial()
 	for want := 1; want <= 2; want++ {
 		if res, _ := c.ask(cuota("basico", 2000)); res.StatusCode != 200 {
@@ -745,7 +746,7 @@
 	// without a ceiling, whose store a gatekeeper just born takes for empty
 	plain := strings.Replace(string(text), `"ceiling-rate": 35, `, "", 1)
 	configured(t, strings.Replace(plain, "deploy/calculadora.yaml", file, 1))
-	g := open(t, func(c *config) {
+	g := open(t, func(c *config.Config) {
 		if err := json.Unmarshal([]byte(plain), c); err != nil {
 			t.Fatal(err)
 		}
@@ -783,11 +784,11 @@
 	slow := g.dial().send("GET /v1/cuota?monto=slow HTTP/1.1\r\nHost: a\r\nX-Api-Key: banco-sur\r\n\r\n")
 	next(t, got)
 	write(strings.Replace(string(description), "units: 2,", "", 1))
-	if err := g.reload(); err == nil || !strings.Contains(err.Error(), `operation "cuota" states no cost`) {
+	if err := g.reload(os.Getenv("EDGE_CONFIG")); err == nil || !strings.Contains(err.Error(), `operation "cuota" states no cost`) {
 		t.Errorf("a description without a cost was answered with %v", err)
 	}
 	write(strings.Replace(string(description), "/cuota:", "/nueva:", 1))
-	if err := g.reload(); err != nil {
+	if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 		t.Error(err)
 	}
 	if old, now := ask("/v1/cuota?monto=1", "banco-sur", 2000), ask("/v1/nueva?monto=1", "banco-sur", 2000); old.StatusCode != 404 || now.StatusCode != 201 {
@@ -811,7 +812,7 @@
 // stand-in proxy.
 func TestAProxyHearsOfADrainThroughXDS(t *testing.T) {
 	addr, _ := worker(t, say(served))
-	g := open(t, func(c *config) { c.XDS = "127.0.0.1:0" }, addr)
+	g := open(t, func(c *config.Config) { c.XDS = "127.0.0.1:0" }, addr)
 	conn, err := grpc.NewClient(g.xds.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"foxwood/internal/config"
 	"foxwood/internal/link"
 )
 
@@ -116,9 +117,9 @@
 }
 
 // open starts a gatekeeper before stand-in workers.
-func open(t *testing.T, change func(*config), workers ...string) *gate {
+func open(t *testing.T, change func(*config.Config), workers ...string) *gate {
 	t.Helper()
-	c := config{Name: "n0", Seed: "1f", Settings: json.RawMessage(settingsText)}
+	c := config.Config{Name: "n0", Seed: "1f", Settings: json.RawMessage(settingsText)}
 	c.Limits.Sockets = 1024
 	var members []string
 	for i, w := range workers {
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -7,7 +7,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"regexp"
@@ -83,14 +83,14 @@
 	s := &Server{cache: cachev3.NewSnapshotCache(true, anyNode{}, nil), grpc: grpc.NewServer(), listen: ln}
 	seen := serverv3.CallbackFuncs{StreamRequestFunc: func(_ int64, r *discoveryv3.DiscoveryRequest) error {
 		if d := r.GetErrorDetail(); d != nil {
-			log.Printf("xds: %s refuses %s: %s", r.GetNode().GetId(), r.GetTypeUrl(), d.GetMessage())
+			slog.Warn("xds: refused by a proxy", "node", r.GetNode().GetId(), "type", r.GetTypeUrl(), "reason", d.GetMessage())
 		}
 		return nil
 	}}
 	discoveryv3.RegisterAggregatedDiscoveryServiceServer(s.grpc, serverv3.NewServer(context.Background(), s.cache, seen))
 	go func() {
 		if err := s.grpc.Serve(ln); err != nil {
-			log.Printf("xds: %v", err)
+			slog.Error("xds: server ended", "error", err)
 		}
 	}()
 	return s, nil
