Carry executions over pipelined, HTTP/2 and batch links as well

A busy gatekeeper needed a connection for every execution in flight. The fleet now gives each worker a carrier, chosen for its pool: today's one at a time (serial.go, unchanged in what it does), or one that holds several executions on a link, over which a line of HTTP/1.1, HTTP/2 streams or the batch protocol is spoken. internal/lanes decides which requests may stand behind which, internal/h2 is an HTTP/2 connection without I/O, internal/batch the batch protocol's codec and its worker's side. docs/design/transports.md has the options and the table of what a break proves.

Also a fault of the old link: gnet writes what is buffered after OnClose, so a request reported as never sent whole could yet arrive; the sending side is ended first now.

An emulated worker that keeps a ledger shows that each request on each carrier is served its own answer, once.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -112,6 +112,7 @@
 	timers   timers
 	wokenAt  float64
 	patience float64 // of counter calls
+	classes  []policy.Class
 	deciding bool
 	waiting  []func()               // events that came while a decision was being made
 	known    map[policy.Server]bool // the listed workers, and whether they take work
@@ -132,7 +133,7 @@
 	g := &Gatekeeper{
 		clock: c.Clock, decide: policy.New(c.Settings, c.Seed), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
 		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{},
-		patience: millis(c.Settings.CounterTimeout),
+		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes,
 	}
 	if g.patience <= 0 {
 		g.patience = 50
@@ -279,9 +280,18 @@
 // SetClasses replaces the table of request classes. Requests taken before keep the
 // terms they came with.
 func (g *Gatekeeper) SetClasses(classes []policy.Class) {
+	g.classes = classes
 	g.enter(func(now policy.Micros) { g.decide.SetClasses(now, g, classes) })
 }
 
+// Class is the terms of a class of requests; those of an unknown one are zero.
+func (g *Gatekeeper) Class(class int) policy.Class {
+	if class < 0 || class >= len(g.classes) {
+		return policy.Class{}
+	}
+	return g.classes[class]
+}
+
 // Standings is what the decision module thinks of the workers, and how many
 // executions it would have out at once.
 func (g *Gatekeeper) Standings() ([]policy.Standing, float64) {
--- /dev/null
+++ b/internal/batch/codec.go
@@ -0,0 +1,179 @@
+// Package batch is the batch protocol: many requests in one message, over a link that
+// both sides write to at any time (docs/batch-protocol.md). It holds the gatekeeper's
+// side as a codec without I/O, and the worker's side as an HTTP handler.
+package batch
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// ContentType is the media type of both directions.
+const ContentType = "application/vnd.foxwood.batch"
+
+// MessageMost is the most bytes of one message. A longer one breaks the link.
+const MessageMost = 2 << 20
+
+// The field numbers of batchpb/batch.proto.
+const (
+	upItems, upGiveUp, upPing                 = 1, 2, 3
+	itemID, itemRequest                       = 1, 2
+	downDone, downPong, downLeaving, downLast = 1, 2, 3, 4
+	doneID, doneAnswer, doneNeverRan          = 1, 2, 3
+)
+
+// AppendItem appends an item, as a field of an Up message.
+func AppendItem(b []byte, id uint64, request []byte) []byte {
+	n := protowire.SizeTag(itemID) + protowire.SizeVarint(id) + protowire.SizeTag(itemRequest) + protowire.SizeBytes(len(request))
+	b = protowire.AppendTag(b, upItems, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(n))
+	b = protowire.AppendTag(b, itemID, protowire.VarintType)
+	b = protowire.AppendVarint(b, id)
+	b = protowire.AppendTag(b, itemRequest, protowire.BytesType)
+	return protowire.AppendBytes(b, request)
+}
+
+// AppendGiveUp appends the number of an item that is given up.
+func AppendGiveUp(b []byte, id uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, upGiveUp, protowire.VarintType), id)
+}
+
+// AppendPing appends a question for a sign of life.
+func AppendPing(b []byte, n uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, upPing, protowire.VarintType), n)
+}
+
+// AppendMessage appends a message behind its length.
+func AppendMessage(b, message []byte) []byte { return protowire.AppendBytes(b, message) }
+
+// Done is the end of one item.
+type Done struct {
+	ID       uint64
+	Answer   []byte // a whole HTTP/1.1 answer; it holds until the next Feed
+	NeverRan bool
+}
+
+// Down is a message of a worker.
+type Down struct {
+	Done    []Done
+	Pong    uint64
+	Leaving bool
+	Last    uint64
+}
+
+// Reader takes the bytes of a worker's side as they come.
+type Reader struct {
+	held []byte
+	down Down
+}
+
+// Errors of a Reader. After one, where the next message begins is not known.
+var (
+	ErrLong      = errors.New("batch: a message past its bound")
+	ErrMalformed = errors.New("batch: a malformed message")
+)
+
+// Started tells whether a part of a message has come.
+func (r *Reader) Started() bool { return len(r.held) > 0 }
+
+// Feed takes bytes and calls do for each message that is whole by now. The message
+// holds during the call. An error of do ends Feed.
+func (r *Reader) Feed(b []byte, do func(*Down) error) error {
+	if len(r.held) > 0 {
+		r.held = append(r.held, b...)
+		b = r.held
+	}
+	for len(b) > 0 {
+		size, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			if len(b) >= 10 { // a length has 10 bytes at most
+				return ErrMalformed
+			}
+			break
+		}
+		if size > MessageMost {
+			return fmt.Errorf("%w: %d bytes", ErrLong, size)
+		}
+		if uint64(len(b)-n) < size {
+			break
+		}
+		if err := r.down.read(b[n : n+int(size)]); err != nil {
+			return err
+		}
+		b = b[n+int(size):]
+		if err := do(&r.down); err != nil {
+			return err
+		}
+	}
+	r.held = append(r.held[:0], b...)
+	if len(r.held) == 0 && cap(r.held) > heldMost {
+		r.held = nil
+	}
+	return nil
+}
+
+const heldMost = 64 << 10 // bytes of room that a Reader keeps between messages
+
+// read reads a message over what was there. Fields that are not known are passed over.
+func (d *Down) read(b []byte) error {
+	*d = Down{Done: d.Done[:0]}
+	return fields(b, func(num protowire.Number, v uint64, text []byte) error {
+		switch num {
+		case downDone:
+			var done Done
+			err := fields(text, func(num protowire.Number, v uint64, text []byte) error {
+				switch num {
+				case doneID:
+					done.ID = v
+				case doneAnswer:
+					done.Answer = text
+				case doneNeverRan:
+					done.NeverRan = v != 0
+				}
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+			d.Done = append(d.Done, done)
+		case downPong:
+			d.Pong = v
+		case downLeaving:
+			d.Leaving = v != 0
+		case downLast:
+			d.Last = v
+		}
+		return nil
+	})
+}
+
+// fields calls do for each field of a message, with its number or its bytes.
+func fields(b []byte, do func(num protowire.Number, v uint64, text []byte) error) error {
+	for len(b) > 0 {
+		num, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrMalformed
+		}
+		b = b[n:]
+		var v uint64
+		var text []byte
+		switch kind {
+		case protowire.VarintType:
+			v, n = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			text, n = protowire.ConsumeBytes(b)
+		default:
+			n = protowire.ConsumeFieldValue(num, kind, b)
+		}
+		if n < 0 {
+			return ErrMalformed
+		}
+		b = b[n:]
+		if err := do(num, v, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batch/server.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"foxwood/internal/batch/batchpb"
+)
+
+// Handler serves the worker's side of the batch protocol over net/http: each item goes
+// to Items as a request of its own, and its answer goes back as soon as it is whole.
+type Handler struct {
+	Items http.Handler
+}
+
+// ErrNeverRan, panicked with by a handler of items, tells that the item has not run and
+// will not.
+var ErrNeverRan = errors.New("batch: the item never ran")
+
+// link is one batch link on the worker's side.
+type link struct {
+	to    *http.ResponseController
+	w     http.ResponseWriter
+	mu    sync.Mutex // of what is written
+	items sync.Map   // number -> context.CancelFunc
+	done  sync.WaitGroup
+}
+
+// ServeHTTP implements http.Handler. It returns when the gatekeeper ends its side, after
+// the last item.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost || r.Header.Get("Content-Type") != ContentType {
+		http.Error(w, "a batch link begins with a POST of "+ContentType, http.StatusUnsupportedMediaType)
+		return
+	}
+	l := &link{w: w, to: http.NewResponseController(w)}
+	if r.ProtoMajor == 1 {
+		if err := l.to.EnableFullDuplex(); err != nil {
+			http.Error(w, err.Error(), http.StatusNotImplemented)
+			return
+		}
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.WriteHeader(http.StatusOK)
+	_ = l.to.Flush()
+	ctx, cancel := context.WithCancel(r.Context())
+	in := bufio.NewReader(r.Body)
+	for l.next(ctx, in, h.Items) == nil {
+	}
+	cancel()
+	l.done.Wait()
+}
+
+// next takes one message.
+func (l *link) next(ctx context.Context, in *bufio.Reader, items http.Handler) error {
+	var up batchpb.Up
+	if err := (protodelim.UnmarshalOptions{MaxSize: MessageMost}).UnmarshalFrom(in, &up); err != nil {
+		return err
+	}
+	for _, id := range up.GetGiveUp() {
+		if stop, ok := l.items.LoadAndDelete(id); ok {
+			stop.(context.CancelFunc)()
+		}
+	}
+	for _, it := range up.GetItems() {
+		ctx, stop := context.WithCancel(ctx)
+		l.items.Store(it.GetId(), stop)
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			defer stop()
+			done := run(ctx, it, items)
+			if _, wanted := l.items.LoadAndDelete(it.GetId()); wanted && done != nil {
+				l.write(&batchpb.Down{Done: []*batchpb.Done{done}})
+			}
+		}()
+	}
+	if up.GetPing() > 0 {
+		l.write(&batchpb.Down{Pong: up.GetPing()})
+	}
+	return nil
+}
+
+func (l *link) write(d *batchpb.Down) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, err := protodelim.MarshalTo(l.w, d); err == nil {
+		_ = l.to.Flush()
+	}
+}
+
+// run serves one item. It returns nil for one whose handler gives no answer, as
+// net/http has them say with http.ErrAbortHandler.
+func run(ctx context.Context, it *batchpb.Item, items http.Handler) (done *batchpb.Done) {
+	done = &batchpb.Done{Id: it.GetId()}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(it.GetRequest())))
+	if err != nil {
+		done.Answer = []byte("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		return done
+	}
+	defer func() {
+		switch v := recover(); v {
+		case nil:
+		case ErrNeverRan:
+			done.Answer, done.NeverRan = nil, true
+		case http.ErrAbortHandler:
+			done = nil
+		default:
+			panic(v)
+		}
+	}()
+	a := &answer{header: http.Header{}, status: http.StatusOK}
+	items.ServeHTTP(a, r.WithContext(ctx))
+	done.Answer = a.message()
+	return done
+}
+
+// answer gathers what a handler writes.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *answer) Header() http.Header         { return a.header }
+func (a *answer) WriteHeader(status int)      { a.status = status }
+func (a *answer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+func (a *answer) message() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), a.body.Len())
+	for name, values := range a.header {
+		if !strings.EqualFold(name, "Content-Length") {
+			for _, v := range values {
+				fmt.Fprintf(&b, "%s: %s\r\n", name, v)
+			}
+		}
+	}
+	b.WriteString("\r\n")
+	_, _ = a.body.WriteTo(&b)
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/h2/encode.go
@@ -0,0 +1,58 @@
+package h2
+
+import (
+	"bytes"
+	"errors"
+
+	"golang.org/x/net/http2/hpack"
+)
+
+// encode turns the head of an HTTP/1.1 request, and further field lines, into a header
+// block: the pseudo-headers first, Host as ":authority" (RFC 9113, section 8.3.1),
+// names in lower case.
+func (s *Session) encode(head, extra []byte) error {
+	line, rest, ok := bytes.Cut(head, crlf)
+	method, target, okMethod := bytes.Cut(line, space)
+	target, _, okTarget := bytes.Cut(target, space)
+	if !ok || !okMethod || !okTarget {
+		return errors.New("h2: a request without a request line")
+	}
+	s.put(":method", string(method))
+	s.put(":scheme", "http")
+	s.put(":path", string(target))
+	if host, ok := find(rest, "host"); ok {
+		s.put(":authority", string(host))
+	}
+	for _, lines := range [...][]byte{rest, extra} {
+		for len(lines) > 0 {
+			line, lines, _ = bytes.Cut(lines, crlf)
+			name, value, ok := bytes.Cut(line, colon)
+			if !ok {
+				return errors.New("h2: a header line without a name")
+			}
+			if !bytes.EqualFold(name, host) {
+				s.put(string(bytes.ToLower(name)), string(bytes.TrimLeft(value, " ")))
+			}
+		}
+	}
+	return nil
+}
+
+var crlf, space, colon, host = []byte("\r\n"), []byte(" "), []byte(":"), []byte("host")
+
+// put encodes a field. A buffer takes whatever is written to it.
+func (s *Session) put(name, value string) {
+	_ = s.enc.WriteField(hpack.HeaderField{Name: name, Value: value})
+}
+
+// find is the value of the first field line with a name.
+func find(lines []byte, name string) ([]byte, bool) {
+	for len(lines) > 0 {
+		var line []byte
+		line, lines, _ = bytes.Cut(lines, crlf)
+		if k, v, ok := bytes.Cut(line, colon); ok && len(k) == len(name) && bytes.EqualFold(k, []byte(name)) {
+			return bytes.TrimLeft(v, " "), true
+		}
+	}
+	return nil, false
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -458,3 +458,6 @@
 	}
 	return true
 }
+
+// Add puts a header field behind those that the message has. The slices are kept.
+func (m *Message) Add(name, value []byte) { m.fields = append(m.fields, field{name, value}) }
--- /dev/null
+++ b/internal/link/fleet.go
@@ -0,0 +1,210 @@
+package link
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"foxwood/gatekeeper"
+	"foxwood/internal/http1"
+	"foxwood/internal/lanes"
+	"foxwood/policy"
+)
+
+// Payload is a request as workers get it, built once by its front: whole header
+// lines from the request line on, without the time left, and the body.
+type Payload struct {
+	Head, Body []byte
+}
+
+// Reader turns a worker's answer into an outcome.
+type Reader interface {
+	Outcome(m *http1.Message) gatekeeper.Outcome
+	// Left names the header that tells a worker how long it is waited for.
+	Left() string
+}
+
+// carrier carries executions to one worker, over links of one kind. Every execution
+// that it takes ends once: with Gatekeeper.Done, or given up through its holder.
+type carrier interface {
+	// execute sends an execution, or keeps it until a link can take it.
+	execute(x *gatekeeper.Execution)
+	// moved tells that the worker listens elsewhere from now on: links to where it was
+	// finish what they hold and get nothing new.
+	moved()
+	// release tells that the worker takes nothing new: what has not been sent ends as
+	// never run, and links at rest are closed.
+	release()
+	// sweep does what is due now and then.
+	sweep(now float64)
+	// rested is since when the link that has rested longest does; ok is false where
+	// none rests.
+	rested() (since float64, ok bool)
+	// retire closes that link.
+	retire()
+	// empty tells that there is neither a link nor an execution.
+	empty() bool
+}
+
+// holder is where an execution is: a queue or a link. It is the execution's Slot.
+type holder interface {
+	// abandon gives an execution up. When it returns the execution is no longer out. It
+	// tells whether the whole of it was on its way to the worker.
+	abandon(x *gatekeeper.Execution) (sent bool)
+}
+
+// Fleet holds the server links. It implements gatekeeper.Fleet.
+type Fleet struct {
+	loop      *Loop
+	core      *gatekeeper.Gatekeeper
+	reader    Reader
+	clock     *gatekeeper.Clock
+	transport Transport
+	table     *lanes.Table
+	workers   map[policy.Server]*worker
+	patience  time.Duration // for a connection to come up
+	idleMost  float64       // milliseconds that a link may rest
+	links     int           // open or being opened
+	openings  int
+	out       []byte
+}
+
+// worker is one server and what carries executions to it.
+type worker struct {
+	fleet *Fleet
+	id    policy.Server
+	addr  string
+	gone  bool
+	carry carrier
+}
+
+// NewFleet makes a fleet without workers. Links are retired when they have rested
+// for idleMost milliseconds.
+func NewFleet(l *Loop, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64, t Transport) *Fleet {
+	f := &Fleet{loop: l, clock: clock, reader: r, workers: map[policy.Server]*worker{}, transport: t.filled(),
+		patience: time.Duration(connectMost * float64(time.Millisecond)), idleMost: idleMost}
+	f.table = lanes.NewTable(f.terms)
+	return f
+}
+
+// Attach names the core that the fleet reports to.
+func (f *Fleet) Attach(core *gatekeeper.Gatekeeper) { f.core = core }
+
+// terms is what a class's requests bear on a link that they share. A keyed request
+// bears it where every worker drops its repeats for as long as a repeat could come.
+func (f *Fleet) terms(class int) lanes.Terms {
+	c := f.core.Class(class)
+	share := c.Repeat == policy.Safe || c.Repeat == policy.Keyed && c.Group == policy.GroupAll && c.Window >= c.Deadline
+	return lanes.Terms{Aim: float64(c.Aim) / 1000, Share: share}
+}
+
+// Place tells where a worker listens.
+func (f *Fleet) Place(id policy.Server, addr string) {
+	w := f.workers[id]
+	if w == nil {
+		w = &worker{fleet: f, id: id}
+		w.carry = f.carrier(w)
+		f.workers[id] = w
+	}
+	w.gone = false
+	if w.addr != addr {
+		w.addr = addr
+		w.carry.moved()
+	}
+}
+
+func (f *Fleet) carrier(w *worker) carrier {
+	if f.transport.Carrier == OneAtATime {
+		return &serial{w: w, fleet: f}
+	}
+	return newShared(w)
+}
+
+// Release implements gatekeeper.Fleet.
+func (f *Fleet) Release(id policy.Server) {
+	if w := f.workers[id]; w != nil {
+		w.gone = true
+		w.carry.release()
+		f.drop(w)
+	}
+}
+
+// drop forgets a worker that is gone, once nothing is left of it.
+func (f *Fleet) drop(w *worker) {
+	if w.gone && w.carry.empty() && f.workers[w.id] == w {
+		delete(f.workers, w.id)
+	}
+}
+
+// Execute implements gatekeeper.Fleet.
+func (f *Fleet) Execute(x *gatekeeper.Execution) {
+	w := f.workers[x.Worker]
+	if w == nil {
+		f.end(x, policy.ConnectFailed)
+		return
+	}
+	w.carry.execute(x)
+}
+
+// Abandon implements gatekeeper.Fleet.
+func (f *Fleet) Abandon(x *gatekeeper.Execution) (sent bool) {
+	if h, ok := x.Slot.(holder); ok {
+		x.Slot = nil
+		return h.abandon(x)
+	}
+	return false
+}
+
+// end reports an execution that got no answer.
+func (f *Fleet) end(x *gatekeeper.Execution, st policy.Status) {
+	x.Slot = nil
+	f.core.Done(x, gatekeeper.Outcome{Status: st})
+}
+
+// room tells whether another link may be opened, and closes one at rest for it where
+// that is what it takes.
+func (f *Fleet) room() bool {
+	return f.openings < openingsMost && (f.links < f.loop.Budget.Servers || f.spare())
+}
+
+// spare closes an idle link to make room for another.
+func (f *Fleet) spare() bool {
+	var oldest carrier
+	since := 0.0
+	for _, w := range f.workers {
+		if at, ok := w.carry.rested(); ok && (oldest == nil || at < since) {
+			oldest, since = w.carry, at
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.retire()
+	return true
+}
+
+// Sweep retires links that have rested long: a worker closes them soon after, and
+// a request written then would be lost.
+func (f *Fleet) Sweep() {
+	now := f.clock.Now()
+	for _, w := range f.workers {
+		for {
+			at, ok := w.carry.rested()
+			if !ok || now-at <= f.idleMost {
+				break
+			}
+			w.carry.retire()
+		}
+		w.carry.sweep(now)
+	}
+}
+
+// cutOff sees to it that nothing more leaves by a link that ends. It guards against
+// gnet's close, which writes what is still buffered after OnClose: an execution that was
+// reported as never sent whole would yet arrive whole.
+func cutOff(c gnet.Conn) {
+	if c.OutboundBuffered() > 0 {
+		_ = syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
+	}
+}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -44,9 +44,13 @@
 	ring    func()
 	ready   chan struct{}
 	stopped atomic.Bool
+	dirty   []flusher // links with something to write at the end of this turn
 	Budget  *Budget
 }
 
+// flusher is a link that writes what it has gathered in a turn of the loop at once.
+type flusher interface{ flush() }
+
 // NewLoop starts an event loop whose sockets stay within the budget.
 func NewLoop(b *Budget) (*Loop, error) {
 	l := &Loop{Budget: b, ready: make(chan struct{})}
@@ -105,6 +109,24 @@
 	}
 }
 
+// flushSoon has a link written to at the end of this turn of the loop. Must be called on
+// the loop. What is posted runs once the events of the turn have been handled, so that
+// all that they made the link write goes out in one system call.
+func (l *Loop) flushSoon(f flusher) {
+	l.dirty = append(l.dirty, f)
+	if len(l.dirty) == 1 {
+		l.Post(l.flushAll)
+	}
+}
+
+func (l *Loop) flushAll() {
+	for i := 0; i < len(l.dirty); i++ { // a flush may make others dirty
+		l.dirty[i].flush()
+	}
+	clear(l.dirty)
+	l.dirty = l.dirty[:0]
+}
+
 // OnAlarm names what Wake calls. It must be set before the first Wake.
 func (l *Loop) OnAlarm(ring func()) { l.ring = ring }
 
--- /dev/null
+++ b/internal/link/serial.go
@@ -0,0 +1,317 @@
+package link
+
+import (
+	"slices"
+	"strconv"
+	"syscall"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"foxwood/gatekeeper"
+	"foxwood/internal/http1"
+	"foxwood/policy"
+)
+
+// A link rests so many milliseconds after an answer before it is used again: the end of
+// a connection closed right behind its answer takes as long to come as the answer did,
+// and a request written meanwhile is lost. A waiting execution waits for a link that
+// has rested nearly so long, and has another opened else.
+const (
+	settleFor  = 5.0
+	settleWait = 2.0
+)
+
+// partMost is how many milliseconds an answer that has begun may rest. Some come in
+// pieces, so it is not for the whole of it.
+const partMost = 200.0
+
+// serial is the carrier of one execution at a time on a link, as the platform's
+// protocol wants it.
+type serial struct {
+	w        *worker
+	fleet    *Fleet
+	idle     []*server // the one used last is taken first, so that the rest can age
+	queue    []*gatekeeper.Execution
+	openings int
+	links    int
+	settling bool // a link at rest is waited for
+}
+
+// server is a link of a serial carrier.
+type server struct {
+	fleet   *Fleet
+	set     *serial
+	addr    string
+	c       gnet.Conn
+	parser  *http1.Parser
+	x       *gatekeeper.Execution
+	part    *gatekeeper.Execution // whose answer has begun
+	heard   float64               // last piece of it
+	writing bool
+	dead    bool
+	since   float64 // idle since
+}
+
+func (s *serial) execute(x *gatekeeper.Execution) {
+	if l := s.take(s.fleet.clock.Now()); l != nil {
+		l.start(x)
+		return
+	}
+	x.Slot = s
+	s.queue = append(s.queue, x)
+	s.open()
+}
+
+func (s *serial) moved() {
+	for len(s.idle) > 0 {
+		s.idle[len(s.idle)-1].shut()
+	}
+}
+
+func (s *serial) release() {
+	s.moved()
+	for len(s.queue) > 0 { // a link that comes up by now would still be given them
+		s.fleet.end(s.next(), policy.ConnectFailed)
+	}
+}
+
+func (s *serial) empty() bool { return s.links == 0 && len(s.queue) == 0 }
+
+func (s *serial) rested() (float64, bool) {
+	if len(s.idle) == 0 {
+		return 0, false
+	}
+	return s.idle[0].since, true
+}
+
+func (s *serial) retire() { s.idle[0].shut() }
+
+func (s *serial) sweep(float64) { s.open() }
+
+// take is an idle link that can be used, the one used last of them. It guards against
+// what a worker sends behind its answer: on a link used again at once that would be
+// read as the answer to the next request. So a link rests a moment first, and one on
+// which something has come by then, be it bytes or its end, is closed.
+func (s *serial) take(now float64) *server {
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		l := s.idle[i]
+		if now-l.since < settleFor {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		if l.quiet() {
+			return l
+		}
+		l.shut()
+	}
+	return nil
+}
+
+// next is the execution that has waited longest.
+func (s *serial) next() *gatekeeper.Execution {
+	x := s.queue[0]
+	s.queue = slices.Delete(s.queue, 0, 1)
+	return x
+}
+
+// open gives waiting executions the links at rest, and opens links until each of the
+// others has one on its way, as far as the budget goes.
+func (s *serial) open() {
+	f := s.fleet
+	for len(s.queue) > 0 {
+		l := s.take(f.clock.Now())
+		if l == nil {
+			break
+		}
+		l.start(s.next())
+	}
+	soon, now := 0, f.clock.Now()
+	for _, l := range s.idle {
+		if now-l.since >= settleFor-settleWait {
+			soon++
+		}
+	}
+	if len(s.queue) > 0 && len(s.idle) > 0 && !s.settling {
+		s.settling = true
+		f.loop.after(settleFor-(now-s.idle[0].since), func() {
+			s.settling = false
+			s.open()
+		})
+	}
+	for s.openings+soon < len(s.queue) && f.room() {
+		s.openings++
+		f.openings++
+		s.links++
+		f.links++
+		l := &server{fleet: f, set: s, addr: s.w.addr, parser: http1.Answers()}
+		f.loop.dial(s.w.addr, f.patience, l, l.failed)
+	}
+}
+
+// abandon implements holder for what waits for a link.
+func (s *serial) abandon(x *gatekeeper.Execution) (sent bool) {
+	if i := slices.Index(s.queue, x); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+	return false
+}
+
+// abandon implements holder. The link is closed, so the execution is no longer out when
+// this returns.
+func (l *server) abandon(x *gatekeeper.Execution) (sent bool) {
+	if l.x == x {
+		l.x = nil
+		sent = l.c.OutboundBuffered() == 0
+		l.shut()
+	}
+	return sent
+}
+
+func (l *server) opened(c gnet.Conn) {
+	l.c = c
+	l.set.openings--
+	l.fleet.openings--
+	if l.usable() && len(l.set.queue) > 0 {
+		l.start(l.set.next())
+		return
+	}
+	l.rest()
+}
+
+// quiet tells whether nothing has come on the link that has not been read yet.
+func (l *server) quiet() bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(l.c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
+// usable tells whether new executions may go out on the link.
+func (l *server) usable() bool { return !l.dead && !l.set.w.gone && l.addr == l.set.w.addr }
+
+// failed reports a connection that did not come up.
+func (l *server) failed(error) {
+	f, s := l.fleet, l.set
+	s.openings--
+	f.openings--
+	l.ended()
+	if len(s.queue) > s.openings {
+		f.end(s.next(), policy.ConnectFailed)
+	}
+}
+
+// ended takes a link out of the counts.
+func (l *server) ended() {
+	l.dead = true
+	l.set.links--
+	l.fleet.links--
+	l.fleet.drop(l.set.w)
+}
+
+// rest keeps the link for a later execution, or ends it where there will be none.
+func (l *server) rest() {
+	if !l.usable() {
+		l.shut()
+		return
+	}
+	l.since = l.fleet.clock.Now()
+	l.set.idle = append(l.set.idle, l)
+	l.set.open()
+}
+
+// start writes an execution.
+func (l *server) start(x *gatekeeper.Execution) {
+	l.parser.Reset()
+	l.x, x.Slot = x, l
+	out := l.fleet.message(l.fleet.out[:0], x, "", 0)
+	l.fleet.out = out
+	l.writing = true
+	_, _ = l.c.Write(out) // a failed write closes the link
+	l.writing = false
+}
+
+// message appends an execution as an HTTP/1.1 request. A turn is stated in the header
+// that echo names, unless that is empty.
+func (f *Fleet) message(out []byte, x *gatekeeper.Execution, echo string, turn uint64) []byte {
+	p := x.Request.Payload.(*Payload)
+	out = append(out, p.Head...)
+	if echo != "" {
+		out = append(append(out, echo...), ": "...)
+		out = append(strconv.AppendUint(out, turn, 10), "\r\n"...)
+	}
+	out = append(append(out, f.reader.Left()...), ": "...)
+	out = strconv.AppendInt(out, int64(max(x.Timeout, 1)), 10)
+	return append(append(out, "\r\n\r\n"...), p.Body...)
+}
+
+func (l *server) traffic(b []byte) {
+	if l.x == nil { // nothing was asked
+		l.shut()
+		return
+	}
+	n, done, err := l.parser.Feed(b)
+	switch {
+	case err != nil:
+		l.shut()
+	case done:
+		l.answered(n < len(b))
+	case l.parser.Started():
+		l.heard = l.fleet.clock.Now()
+		if l.part != l.x {
+			l.part = l.x
+			l.hurry()
+		}
+	}
+}
+
+// hurry ends the link where an answer has begun and nothing more comes: a spoilt one
+// may claim more bytes than it has, and would be waited for as long as the client waits.
+func (l *server) hurry() {
+	if l.dead || l.x == nil || l.part != l.x {
+		return
+	}
+	left := l.heard + partMost - l.fleet.clock.Now()
+	if left <= 0 {
+		l.shut()
+		return
+	}
+	l.fleet.loop.after(left, l.hurry)
+}
+
+func (l *server) answered(more bool) {
+	x := l.x
+	l.x, l.part, x.Slot = nil, nil, nil
+	m := l.parser.Message()
+	o := l.fleet.reader.Outcome(m)
+	if m.Close || more {
+		l.shut()
+	} else { // The body holds until the next bytes come in.
+		l.rest()
+	}
+	l.fleet.core.Done(x, o)
+}
+
+func (l *server) shut() {
+	if !l.dead {
+		l.fleet.loop.shut(l.c)
+	}
+}
+
+func (l *server) closed(error) {
+	x := l.x
+	if i := slices.Index(l.set.idle, l); i >= 0 {
+		l.set.idle = slices.Delete(l.set.idle, i, i+1)
+	}
+	left := l.writing || l.c.OutboundBuffered() > 0 // its last byte never left
+	cutOff(l.c)
+	l.ended()
+	l.set.open()
+	if x == nil {
+		return
+	}
+	l.x = nil
+	st := policy.Reset
+	if left {
+		st = policy.ConnectFailed
+	}
+	l.fleet.end(x, st)
+}
