--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -41,16 +41,16 @@
 
 // The faults. Those after the run come where the request has held a core.
 const (
-	None          Fault = iota
-	ResetBefore         // the connection is reset before it runs
-	ResetAfter          // and after it ran
-	Stall               // nothing comes, as long as the gatekeeper waits
-	ErrorAfter          // 500 after it ran
-	TurnAway            // 503 with X-Never-Ran
-	NoiseAfter          // bytes that are no answer, on HTTP/1.1 only; the connection stays
-	TwiceAfter          // its answer and a second copy of it, on HTTP/1.1 only
-	CloseAfter          // its answer, with Connection: close
-	VanishBefore        // the whole worker stops: its connections are reset, no new ones taken
+	None         Fault = iota
+	ResetBefore        // the connection is reset before it runs
+	ResetAfter         // and after it ran
+	Stall              // nothing comes, as long as the gatekeeper waits
+	ErrorAfter         // 500 after it ran
+	TurnAway           // 503 with X-Never-Ran
+	NoiseAfter         // bytes that are no answer, on HTTP/1.1 only; the connection stays
+	TwiceAfter         // its answer and a second copy of it, on HTTP/1.1 only
+	CloseAfter         // its answer, with Connection: close
+	VanishBefore       // the whole worker stops: its connections are reset, no new ones taken
 )
 
 // Arrival is a request as it came in.
--- /dev/null
+++ b/internal/link/driver.go
@@ -0,0 +1,23 @@
+package link
+
+import (
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// driver is what a fleet needs of the loop that drives it.
+type driver interface {
+	// dial opens a connection and hands it to e, or calls failed.
+	dial(addr string, patience time.Duration, e endpoint, failed func(error))
+	// after calls do once so many milliseconds are over.
+	after(ms float64, do func())
+	// flushSoon has a link written to at the end of this turn.
+	flushSoon(f flusher)
+	// shut closes a connection, which calls closed on its endpoint.
+	shut(c gnet.Conn)
+	// servers is the most server links open at once.
+	servers() int
+}
+
+func (l *Loop) servers() int { return l.Budget.Servers }
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -56,8 +56,8 @@
 
 // Fleet holds the server links. It implements gatekeeper.Fleet.
 type Fleet struct {
-	loop      *Loop
-	core      *gatekeeper.Gatekeeper
+	loop      driver
+	core      Core
 	reader    Reader
 	clock     *gatekeeper.Clock
 	transport Transport
@@ -81,15 +81,23 @@
 
 // NewFleet makes a fleet without workers. Links are retired when they have rested
 // for idleMost milliseconds.
-func NewFleet(l *Loop, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64, t Transport) *Fleet {
+func NewFleet(l driver, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64, t Transport) *Fleet {
 	f := &Fleet{loop: l, clock: clock, reader: r, workers: map[policy.Server]*worker{}, transport: t.filled(),
 		patience: time.Duration(connectMost * float64(time.Millisecond)), idleMost: idleMost}
 	f.table = lanes.NewTable(f.terms)
 	return f
 }
 
+// Core is what a fleet needs of the gatekeeper's core.
+type Core interface {
+	// Done ends an execution.
+	Done(x *gatekeeper.Execution, o gatekeeper.Outcome)
+	// Class is the terms of a class.
+	Class(class int) policy.Class
+}
+
 // Attach names the core that the fleet reports to.
-func (f *Fleet) Attach(core *gatekeeper.Gatekeeper) { f.core = core }
+func (f *Fleet) Attach(core Core) { f.core = core }
 
 // terms is what a class's requests bear on a link that they share. A keyed request
 // bears it where every worker drops its repeats for as long as a repeat could come.
@@ -165,7 +173,7 @@
 // room tells whether another link may be opened, and closes one at rest for it where
 // that is what it takes.
 func (f *Fleet) room() bool {
-	return f.openings < openingsMost && (f.links < f.loop.Budget.Servers || f.spare())
+	return f.openings < openingsMost && (f.links < f.loop.servers() || f.spare())
 }
 
 // spare closes an idle link to make room for another.
--- a/internal/link/items.go
+++ b/internal/link/items.go
@@ -135,8 +135,9 @@
 	s.giveUps = s.giveUps[:0]
 	s.message = m
 	s.chunk(m)
+	// A worker has the message whole before the end of the chunk's line has come.
 	for i := first; i < len(s.sent); i++ {
-		s.sent[i].end = s.begun + int64(len(s.text))
+		s.sent[i].end = s.begun + int64(len(s.text)-len(chunkEnd))
 	}
 }
 
@@ -144,9 +145,11 @@
 func (s *items) chunk(m []byte) {
 	s.request = batch.AppendMessage(s.request[:0], m)
 	s.text = fmt.Appendf(s.text, "%x\r\n", len(s.request))
-	s.text = append(append(s.text, s.request...), "\r\n"...)
+	s.text = append(append(s.text, s.request...), chunkEnd...)
 }
 
+const chunkEnd = "\r\n"
+
 var errEnded = errors.New("the worker ended the batch")
 
 func (s *items) heard(b []byte) error {
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -35,6 +35,8 @@
 	openings int
 	links    int
 	settling bool // a link at rest is waited for
+	opening  bool // open is under way
+	again    bool // and was asked for again meanwhile
 }
 
 // server is a link of a serial carrier.
@@ -94,6 +96,9 @@
 // which something has come by then, be it bytes or its end, is closed.
 func (s *serial) take(now float64) *server {
 	for i := len(s.idle) - 1; i >= 0; i-- {
+		if i >= len(s.idle) { // to close one may have had others taken
+			continue
+		}
 		l := s.idle[i]
 		if now-l.since < settleFor {
 			continue
@@ -115,8 +120,23 @@
 }
 
 // open gives waiting executions the links at rest, and opens links until each of the
-// others has one on its way, as far as the budget goes.
+// others has one on its way, as far as the budget goes. It guards against itself: to
+// close a link that is not quiet calls it again, and two such links at once had it take
+// what the inner call had taken already.
 func (s *serial) open() {
+	if s.opening {
+		s.again = true
+		return
+	}
+	s.opening = true
+	for s.again = true; s.again; {
+		s.again = false
+		s.serve()
+	}
+	s.opening = false
+}
+
+func (s *serial) serve() {
 	f := s.fleet
 	for len(s.queue) > 0 {
 		l := s.take(f.clock.Now())
--- a/internal/service/transports_test.go
+++ b/internal/service/transports_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -125,3 +127,126 @@
 			}
 		})
 }
+
+// TestASlowOneHoldsUpNobody: several long simulaciones are out, and cuotas asked
+// meanwhile keep their time on every carrier.
+func TestASlowOneHoldsUpNobody(t *testing.T) {
+	const slow = 1200 * time.Millisecond
+	conf := emulator.Config{Cores: 16, Window: 5 * time.Second, Classes: map[string]emulator.Service{
+		"cuota": {Mean: 2 * time.Millisecond}, "simulacion": {Mean: slow}}}
+	eachCarrier(t, 1, conf, func(t *testing.T, g *gate, ws []*emulator.Worker) {
+		for i := range 30 { // so that the carrier knows how long a cuota takes
+			g.ask("cuota", i, 1900)
+		}
+		done := make(chan []asked, 1)
+		go func() { done <- g.together("simulacion", 0, 3, 1900) }()
+		until(t, func() bool { return ws[0].Holding() == 3 })
+		for round := range 8 {
+			for _, a := range g.together("cuota", 100+10*round, 4, 1900) {
+				if a.status != http.StatusOK || a.took > slow/3 {
+					t.Errorf("%s: status %d after %v", a.id, a.status, a.took)
+				}
+			}
+		}
+		own(t, next(t, done))
+	})
+}
+
+// TestWhateverAWorkerDoesEachIsAnsweredOnce injects resets, stalls, errors, closes and
+// spoilt answers among requests of both classes: each gets one final answer, its own, and
+// no key runs twice.
+func TestWhateverAWorkerDoesEachIsAnsweredOnce(t *testing.T) {
+	for name, fault := range map[string]emulator.Fault{
+		"reset before it ran": emulator.ResetBefore, "reset after it ran": emulator.ResetAfter, "stall": emulator.Stall,
+		"error": emulator.ErrorAfter, "turned away": emulator.TurnAway, "noise": emulator.NoiseAfter,
+		"twice": emulator.TwiceAfter, "close": emulator.CloseAfter,
+	} {
+		conf := emulator.Config{Cores: 8, Window: 5 * time.Second, Default: emulator.Service{Mean: 2 * time.Millisecond, CV: 0.5},
+			Fault: func(a emulator.Arrival) emulator.Fault {
+				if a.N > 20 && a.N%7 == 0 {
+					return fault
+				}
+				return emulator.None
+			}}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			eachCarrier(t, 2, conf, func(t *testing.T, g *gate, ws []*emulator.Worker) {
+				served, asked := 0, 0
+				for round := range 8 {
+					all := append(g.together("cuota", 100*round, 8, 600), g.together("simulacion", 100*round+50, 4, 600)...)
+					served += own(t, all)
+					asked += len(all)
+				}
+				if served < asked/2 {
+					t.Errorf("%d of %d served", served, asked)
+				}
+				once(t, ws[0].Ledger)
+				if ws[0].Ledger.Totals().Faults == 0 {
+					t.Error("no fault was met")
+				}
+			})
+		})
+	}
+}
+
+// TestAWorkerThatVanishesLeavesNobodyWaiting: a worker stops with a line, a batch or
+// streams of requests on it, for good.
+func TestAWorkerThatVanishesLeavesNobodyWaiting(t *testing.T) {
+	conf := emulator.Config{Cores: 2, Window: 5 * time.Second, Default: emulator.Service{Mean: 10 * time.Millisecond},
+		Fault: func(a emulator.Arrival) emulator.Fault {
+			if a.N == 25 {
+				return emulator.VanishBefore
+			}
+			return emulator.None
+		}}
+	eachCarrier(t, 2, conf, func(t *testing.T, g *gate, ws []*emulator.Worker) {
+		for round := range 6 {
+			all := append(g.together("cuota", 100*round, 12, 1500), g.together("simulacion", 100*round+50, 4, 1500)...)
+			own(t, all)
+		}
+		once(t, ws[0].Ledger)
+	})
+}
+
+// TestADrainToldMidLineLosesNothing: a worker is told to drain with requests out to it on
+// a shared link. Those are answered; what comes after goes elsewhere.
+func TestADrainToldMidLineLosesNothing(t *testing.T) {
+	conf := emulator.Config{Cores: 4, Window: 5 * time.Second, Default: emulator.Service{Mean: 150 * time.Millisecond}}
+	eachCarrier(t, 2, conf, func(t *testing.T, g *gate, ws []*emulator.Worker) {
+		done := make(chan []asked, 1)
+		go func() { done <- g.together("cuota", 0, 12, 1900) }()
+		until(t, func() bool { return ws[0].Holding() > 0 && ws[1].Holding() > 0 })
+		told := make(chan error)
+		g.loop.Post(func() {
+			line := fmt.Sprintf(`{"generation":8,"reset":false,"instances":[%s]}`, draining(member(0, ws[0].Addr())))
+			told <- g.hosts.Line([]byte(line))
+		})
+		if err := next(t, told); err != nil {
+			t.Fatal(err)
+		}
+		all := next(t, done)
+		if n := own(t, all); n < len(all) {
+			t.Errorf("%d of %d served", n, len(all))
+		}
+		after := g.together("cuota", 100, 4, 1900)
+		if n := own(t, after); n < len(after) {
+			t.Errorf("%d of %d served after it", n, len(after))
+		}
+		until(t, func() bool { open, _ := ws[0].Conns(); return open == 0 })
+	})
+}
+
+// draining is a line of the list for a worker that drains.
+func draining(member string) string {
+	return strings.Replace(member, `"lifecycle":"ready"`, `"lifecycle":"draining"`, 1)
+}
+
+// until waits for a state of an emulated worker, which has no events for it.
+func until(t *testing.T, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !reached(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("what was waited for did not come")
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/proxy.go
@@ -0,0 +1,30 @@
+package trial
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"sync/atomic"
+)
+
+// Proxy serves the baseline that transports are measured against: the standard library's
+// ReverseProxy, which takes the workers in turn.
+func Proxy(listen string, workers []string) error {
+	var next atomic.Uint64
+	proxy := &httputil.ReverseProxy{
+		Rewrite: func(r *httputil.ProxyRequest) {
+			r.SetURL(&url.URL{Scheme: "http", Host: workers[next.Add(1)%uint64(len(workers))]})
+		},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health/ready", func(http.ResponseWriter, *http.Request) {})
+	mux.Handle("/", proxy)
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("trial: %w", err)
+	}
+	return http.Serve(ln, mux)
+}
