--- a/internal/h2/encode.go
+++ b/internal/h2/encode.go
@@ -17,13 +17,13 @@
 	if !ok || !okMethod || !okTarget {
 		return errors.New("h2: a request without a request line")
 	}
-	s.put(":method", string(method))
-	s.put(":scheme", "http")
-	s.put(":path", string(target))
+	s.put(":method", string(method), false)
+	s.put(":scheme", "http", false)
+	s.put(":path", string(target), bytes.IndexByte(target, '?') >= 0)
 	if host, ok := find(rest, "host"); ok {
-		s.put(":authority", string(host))
+		s.put(":authority", string(host), false)
 	}
-	for _, lines := range [...][]byte{rest, extra} {
+	for i, lines := range [...][]byte{rest, extra} {
 		for len(lines) > 0 {
 			line, lines, _ = bytes.Cut(lines, crlf)
 			name, value, ok := bytes.Cut(line, colon)
@@ -31,7 +31,8 @@
 				return errors.New("h2: a header line without a name")
 			}
 			if !bytes.EqualFold(name, host) {
-				s.put(string(bytes.ToLower(name)), string(bytes.TrimLeft(value, " ")))
+				name := string(bytes.ToLower(name))
+				s.put(name, string(bytes.TrimLeft(value, " ")), i > 0 || name == "idempotency-key" || name == "x-trace-id")
 			}
 		}
 	}
@@ -40,9 +41,11 @@
 
 var crlf, space, colon, host = []byte("\r\n"), []byte(" "), []byte(":"), []byte("host")
 
-// put encodes a field. A buffer takes whatever is written to it.
-func (s *Session) put(name, value string) {
-	_ = s.enc.WriteField(hpack.HeaderField{Name: name, Value: value})
+// put encodes a field. One whose value is another with every request is never indexed
+// (RFC 7541, section 6.2.3): it would only push out of the table what does come again.
+// A buffer takes whatever is written to it.
+func (s *Session) put(name, value string, varies bool) {
+	_ = s.enc.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: varies})
 }
 
 // find is the value of the first field line with a name.
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -78,11 +78,11 @@
 
 func (p *peer) open(body string) *Stream {
 	p.t.Helper()
-	st, err := p.s.Open(nil, []byte(head), []byte("X-Expires-In-Ms: 900\r\n"), []byte(body))
-	if err != nil {
+	id := p.s.next
+	if err := p.s.Open(nil, []byte(head), []byte("X-Expires-In-Ms: 900\r\n"), []byte(body)); err != nil {
 		p.t.Fatal(err)
 	}
-	return st
+	return p.s.streams[id]
 }
 
 // headers writes a header block, in pieces of so many bytes, 0 for one.
--- a/internal/h2/session.go
+++ b/internal/h2/session.go
@@ -164,20 +164,23 @@
 // Len is how many streams are open.
 func (s *Session) Len() int { return len(s.streams) }
 
-// Each calls do for every open stream, in no order.
+// Each calls do for every open stream, in no order. do may cancel it.
 func (s *Session) Each(do func(*Stream)) {
 	for _, st := range s.streams {
 		do(st)
 	}
 }
 
+// Drop forgets every stream: the connection has ended.
+func (s *Session) Drop() { clear(s.streams) }
+
 // Open sends a request on a new stream. There must be Room. head is the request line
 // and the header fields of an HTTP/1.1 request, each line with its end; both slices
 // must stay as they are until the stream has ended.
-func (s *Session) Open(tag any, head, extra, body []byte) (*Stream, error) {
+func (s *Session) Open(tag any, head, extra, body []byte) error {
 	s.block.Reset()
 	if err := s.encode(head, extra); err != nil {
-		return nil, err
+		return err
 	}
 	st := &Stream{ID: s.next, Tag: tag, Start: s.at(), length: -1, window: s.initial, credit: streamWindow}
 	s.next += 2
@@ -197,7 +200,7 @@
 	} else if st.pending = body; !s.push(st) {
 		s.blocked = append(s.blocked, st)
 	}
-	return st, nil
+	return nil
 }
 
 // push sends what the windows allow of a stream's body, and tells whether that was all.
--- a/internal/link/items.go
+++ b/internal/link/items.go
@@ -21,17 +21,17 @@
 	answer  *http1.Parser // of an item's
 	fault   error         // of a message, met inside the parser
 	next    uint64
-	sent    []item     // that are out, by number
-	waiting []gathered // that are gathered for the next message
-	due     float64    // when that message goes out
-	armed   float64    // when the timer for it rings, 0 where none is set
-	giveUps []uint64   // to be told with the next message
-	text    []byte     // that is to be written
-	begun   int64      // place of text's first byte in all that was written
-	message []byte     // scratch
-	request []byte     // scratch
-	last    float64    // when something came
-	pinged  float64    // when a sign of life was asked for, 0 where none is awaited
+	sent    []item                  // that are out, by number
+	waiting []*gatekeeper.Execution // that are gathered for the next message
+	due     float64                 // when that message goes out
+	armed   float64                 // when the timer for it rings, 0 where none is set
+	giveUps []uint64                // to be told with the next message
+	text    []byte                  // that is to be written
+	begun   int64                   // place of text's first byte in all that was written
+	message []byte                  // scratch
+	request []byte                  // scratch
+	last    float64                 // when something came
+	pinged  float64                 // when a sign of life was asked for, 0 where none is awaited
 	pings   uint64
 	begunAt float64 // when a message began that has not come whole, 0 where none has
 	gone    bool    // the worker takes nothing new
@@ -42,11 +42,7 @@
 	id  uint64
 	x   *gatekeeper.Execution
 	end int64 // place of its message's last byte
-}
-
-type gathered struct {
-	x  *gatekeeper.Execution
-	at float64
+	at  float64
 }
 
 func newItems(t *trunk) speech {
@@ -84,7 +80,7 @@
 	if len(s.waiting) == 0 || due < s.due {
 		s.due = due
 	}
-	s.waiting = append(s.waiting, gathered{x, now})
+	s.waiting = append(s.waiting, x)
 }
 
 // written implements speech: it makes a message of what has been gathered, once that is
@@ -119,13 +115,13 @@
 // gather writes a message of all that has been gathered.
 func (s *items) gather() {
 	f := s.t.fleet
-	m := s.message[:0]
+	m, now := s.message[:0], f.clock.Now()
 	first := len(s.sent)
-	for _, g := range s.waiting {
+	for _, x := range s.waiting {
 		s.next++
-		s.request = f.message(s.request[:0], g.x, "", 0)
+		s.request = f.message(s.request[:0], x, "", 0)
 		m = batch.AppendItem(m, s.next, s.request)
-		s.sent = append(s.sent, item{id: s.next, x: g.x})
+		s.sent = append(s.sent, item{id: s.next, x: x, at: now})
 	}
 	clear(s.waiting)
 	s.waiting = s.waiting[:0]
@@ -205,9 +201,7 @@
 			}
 			return it.id > d.Last
 		})
-		for _, g := range s.waiting {
-			never = append(never, g.x)
-		}
+		never = append(never, s.waiting...)
 		s.waiting = nil
 		for _, x := range never {
 			s.t.fleet.end(x, policy.ConnectFailed)
@@ -219,7 +213,7 @@
 // ended gives an item its answer. A spoilt one is its own harm only: where the next
 // begins is known from the message around it.
 func (s *items) ended(i int, done batch.Done) {
-	f, x := s.t.fleet, s.sent[i].x
+	f, x, took := s.t.fleet, s.sent[i].x, s.last-s.sent[i].at
 	s.sent = slices.Delete(s.sent, i, i+1)
 	if done.NeverRan {
 		f.end(x, policy.Full)
@@ -232,12 +226,13 @@
 		return
 	}
 	x.Slot = nil
+	f.table.Learn(x.Request.Class, took)
 	f.core.Done(x, f.reader.Outcome(s.answer.Message()))
 }
 
 // giveUp implements speech: a message tells the worker, and the link goes on.
 func (s *items) giveUp(x *gatekeeper.Execution) (sent bool, err error) {
-	if i := slices.IndexFunc(s.waiting, func(g gathered) bool { return g.x == x }); i >= 0 {
+	if i := slices.Index(s.waiting, x); i >= 0 {
 		s.waiting = slices.Delete(s.waiting, i, i+1)
 		return false, nil
 	}
@@ -279,7 +274,7 @@
 		}
 		s.t.fleet.end(it.x, st)
 	}
-	for _, g := range waiting {
-		s.t.fleet.end(g.x, policy.ConnectFailed)
+	for _, x := range waiting {
+		s.t.fleet.end(x, policy.ConnectFailed)
 	}
 }
--- a/internal/link/streams.go
+++ b/internal/link/streams.go
@@ -21,15 +21,19 @@
 type streams struct {
 	t       *trunk
 	session *h2.Session
-	open    map[*gatekeeper.Execution]*h2.Stream
-	began   map[*gatekeeper.Execution]float64
 	extra   []byte
 	last    float64 // when something came
 	pinged  float64 // when a sign of life was asked for, 0 where none is awaited
 }
 
+// streamed is an execution on its stream, whose Tag it is.
+type streamed struct {
+	x  *gatekeeper.Execution
+	at float64 // when it was sent
+}
+
 func newStreams(t *trunk) speech {
-	s := &streams{t: t, open: map[*gatekeeper.Execution]*h2.Stream{}, began: map[*gatekeeper.Execution]float64{}}
+	s := &streams{t: t}
 	s.session = h2.New(s, t.fleet.transport.Depth)
 	return s
 }
@@ -40,7 +44,7 @@
 
 func (s *streams) leaving() bool { return s.session.Leaving() }
 
-func (s *streams) out() int { return len(s.open) }
+func (s *streams) out() int { return s.session.Len() }
 
 func (s *streams) room() int { return s.session.Room() }
 
@@ -49,16 +53,13 @@
 	p := x.Request.Payload.(*Payload)
 	s.extra = append(append(s.extra[:0], f.reader.Left()...), ": "...)
 	s.extra = append(strconv.AppendInt(s.extra, int64(max(x.Timeout, 1)), 10), "\r\n"...)
-	if len(s.open) == 0 { // the silence before was nobody's
-		s.last = f.clock.Now()
+	now := f.clock.Now()
+	if s.out() == 0 { // the silence before was nobody's
+		s.last = now
 	}
-	st, err := s.session.Open(x, p.Head, s.extra, p.Body)
-	if err != nil { // it was not built by a front
+	if err := s.session.Open(&streamed{x, now}, p.Head, s.extra, p.Body); err != nil { // it was not built by a front
 		f.end(x, policy.ConnectFailed)
-		return
 	}
-	s.open[x] = st
-	s.began[x] = f.clock.Now()
 }
 
 func (s *streams) written() []byte { return s.session.Out() }
@@ -70,8 +71,10 @@
 
 // Answered implements h2.Handler.
 func (s *streams) Answered(st *h2.Stream, m *http1.Message) {
-	x, f := s.close(st), s.t.fleet
-	f.core.Done(x, f.reader.Outcome(m))
+	f, sent := s.t.fleet, st.Tag.(*streamed)
+	f.table.Learn(sent.x.Request.Class, s.last-sent.at)
+	sent.x.Slot = nil
+	f.core.Done(sent.x, f.reader.Outcome(m))
 }
 
 // Ended implements h2.Handler.
@@ -83,31 +86,23 @@
 	case h2.Unprocessed:
 		status = policy.ConnectFailed
 	}
-	s.t.fleet.end(s.close(st), status)
-}
-
-func (s *streams) close(st *h2.Stream) *gatekeeper.Execution {
-	x := st.Tag.(*gatekeeper.Execution)
-	x.Slot = nil
-	delete(s.open, x)
-	delete(s.began, x)
-	return x
+	s.t.fleet.end(st.Tag.(*streamed).x, status)
 }
 
 // giveUp implements speech: RST_STREAM with CANCEL tells the peer, and the link goes on.
 func (s *streams) giveUp(x *gatekeeper.Execution) (sent bool, err error) {
-	st := s.open[x]
-	if st == nil {
-		return false, nil
-	}
-	s.close(st)
-	s.session.Cancel(st)
-	return st.End > 0, nil
+	s.session.Each(func(st *h2.Stream) {
+		if st.Tag.(*streamed).x == x {
+			sent = st.End > 0
+			s.session.Cancel(st)
+		}
+	})
+	return sent, nil
 }
 
 func (s *streams) sweep(now float64) error {
 	switch {
-	case len(s.open) == 0:
+	case s.out() == 0:
 		s.pinged = 0
 	case s.pinged > 0 && now-s.pinged > pingMost:
 		return errSilent
@@ -123,16 +118,15 @@
 // REFUSED_STREAM proves has been told when it came; of all others the peer has at least
 // the header, and may have begun (RFC 9113, section 8.1).
 func (s *streams) lost(gone int64) {
-	left := make([]*h2.Stream, 0, len(s.open))
-	for _, st := range s.open {
-		left = append(left, st)
-	}
+	var left []*h2.Stream
+	s.session.Each(func(st *h2.Stream) { left = append(left, st) })
 	slices.SortFunc(left, func(a, b *h2.Stream) int { return int(a.ID) - int(b.ID) })
+	s.session.Drop()
 	for _, st := range left {
 		status := policy.Reset
 		if st.Start >= gone {
 			status = policy.ConnectFailed
 		}
-		s.t.fleet.end(s.close(st), status)
+		s.t.fleet.end(st.Tag.(*streamed).x, status)
 	}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -124,6 +124,10 @@
 	var out sync.WaitGroup
 	runtime.LockOSThread() // whose sleeps are exact
 	defer runtime.UnlockOSThread()
+	before, err := syscall.Getpriority(syscall.PRIO_PROCESS, 0) // of this thread, 20 - nice
+	if err == nil && syscall.Setpriority(syscall.PRIO_PROCESS, 0, urgent) == nil {
+		defer func() { _ = syscall.Setpriority(syscall.PRIO_PROCESS, 0, 20-before) }()
+	}
 	start := time.Now()
 	for {
 		a, more := next.next()
@@ -143,6 +147,10 @@
 	return r, nil
 }
 
+// urgent is the nice value that the sending thread has where it may: what it is late would
+// pass for the gatekeeper's.
+const urgent = -10
+
 // sleep waits until a time: by the runtime's timers first and, as those come up to a
 // millisecond late, by the thread's own sleep at the last. It tells whether the context
 // still holds.
--- a/internal/service/transports_test.go
+++ b/internal/service/transports_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -250,3 +252,46 @@
 		}
 	}
 }
+
+// TestABreakWithinARequestLeavesOneAnswer: a worker resets its connections after so many
+// bytes: within the preface, the first head, a body, or behind it. The other worker is
+// well. Each request gets one answer, nothing runs twice, and what the well one served is
+// served.
+func TestABreakWithinARequestLeavesOneAnswer(t *testing.T) {
+	const bodyMost = 60000
+	for _, after := range []int{1, 40, 150, 1000, 30000, 70000} {
+		conf := emulator.Config{Cores: 4, Window: 5 * time.Second, Default: emulator.Service{Mean: time.Millisecond}}
+		eachCarrier(t, 1, conf, func(t *testing.T, g *gate, ws []*emulator.Worker) {
+			cut := listen(t, func(c net.Conn) {
+				_, _ = io.ReadFull(c, make([]byte, after))
+				_ = c.(*net.TCPConn).SetLinger(0)
+			})
+			told := make(chan error)
+			g.loop.Post(func() {
+				line := fmt.Sprintf(`{"generation":8,"reset":true,"instances":[%s,%s]}`, member(0, ws[0].Addr()), member(1, cut))
+				told <- g.hosts.Line([]byte(line))
+			})
+			if err := next(t, told); err != nil {
+				t.Fatal(err)
+			}
+			served := 0
+			for n := range 12 {
+				c := g.dial()
+				id := fmt.Sprintf("big-%d", n)
+				body := strings.Repeat("m", bodyMost)
+				text := strings.Replace(request("simulacion", id, id, 1500), "Content-Length: 7", fmt.Sprintf("Content-Length: %d", bodyMost), 1)
+				res, got := c.ask(strings.TrimSuffix(text, "monto=1") + body)
+				if res.StatusCode == http.StatusOK {
+					if served++; got != "ran "+id+"\n" {
+						t.Errorf("%s was given %q", id, got)
+					}
+				}
+				c.Close()
+			}
+			if served == 0 {
+				t.Error("nothing was served")
+			}
+			once(t, ws[0].Ledger)
+		})
+	}
+}
--- a/internal/trial/transports.go
+++ b/internal/trial/transports.go
@@ -92,7 +92,8 @@
 		}
 		fmt.Fprintf(&b, "class %q {\n  aim_ms = %d\n  deadline_ms = %d\n  %s\n}\n", c.Name, c.Aim.Milliseconds(), deadline.Milliseconds(), repeat)
 	}
-	fmt.Fprintf(&b, "pool \"fleet\" {\n  transport = %q\n  idle_ms = 1000\n", transport)
+	kind, more := variant(transport)
+	fmt.Fprintf(&b, "pool \"fleet\" {\n  transport = %q\n  idle_ms = 1000\n%s", kind, more)
 	for i, w := range workers {
 		fmt.Fprintf(&b, "  worker \"w%d\" {\n    address = %q\n  }\n", i, w)
 	}
@@ -302,3 +303,13 @@
 	}
 	return one{result: r, cpu: last.cpu - w.first.cpu, calls: last.calls - w.first.calls, links: w.links, rss: last.rss}, nil
 }
+
+// variant splits the name of a transport with settings, as "batch gather_ms=1 links=1",
+// into the transport and lines for its pool.
+func variant(name string) (kind, more string) {
+	words := strings.Fields(name)
+	for _, w := range words[1:] {
+		more += "  " + strings.Replace(w, "=", " = ", 1) + "\n"
+	}
+	return words[0], more
+}
