Capture what the decision module is told, replay it, and explain a refusal

The capture package writes them: protobuf records in zstd blocks, an xxh3 sum and a keyed HMAC chain a block, customers' ids replaced by a keyed permutation, segments in a ring, a writer that never holds the loop up and marks what it dropped as a gap. foxwood replay tells a module the same and stops at the first decision that differs; foxwood explain says what one request met and why it went as it did; foxwood capture verify and inspect look at files.

Every single-byte flip and every truncation of a small capture is found; a wrong key, an unknown version, damage and a forged block are told apart. The core released workers in the order of a map, which the module could see: they go by id now.

--- /dev/null
+++ b/capture/capture_test.go
@@ -0,0 +1,359 @@
+package capture
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"foxwood/capture/capturepb"
+	"foxwood/policy"
+)
+
+func testKey(t testing.TB, fill byte) Key {
+	t.Helper()
+	k, err := NewKey(bytes.Repeat([]byte{fill}, secretSize))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// write makes a capture of n requests and their refusals, and returns its files.
+func write(t testing.TB, o Options, n int) []string {
+	t.Helper()
+	if o.Folder == "" {
+		o.Folder = t.TempDir()
+	}
+	o.Name = "n0"
+	w, err := NewWriter(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Began(1e6, policy.Settings{Gateways: 2, Plans: []policy.Plan{{Rate: 1.4}}}, 0x1f)
+	for i := range n {
+		w.Requested(1e6+policy.Micros(i), policy.Request{ID: uint32(i), Customer: 0xb4d65521, Units: 2, Left: 1e6})
+		w.Refuse(uint32(i), 5000)
+	}
+	w.Close()
+	files, err := filepath.Glob(filepath.Join(o.Folder, "*"+suffix))
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	return files
+}
+
+// read gives all that can be read of a segment's bytes, and how it ended.
+func read(text []byte, key Key) (n int, err error) {
+	r, err := NewReader(bytes.NewReader(text), &key, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	for {
+		if _, _, err := r.Next(); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return r.Records(), err
+		}
+	}
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	key := testKey(t, 7)
+	files := write(t, Options{Key: key, Life: 9}, 3)
+	f, err := os.Open(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	r, err := NewReader(f, &key, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	d := NewDecoder(&key)
+	var got []string
+	for {
+		rec, at, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, fmt.Sprintf("%d %s %d %x", at, rec.GetKind(), rec.GetId(), d.Request(rec).Customer))
+		if rec.GetKind() == capturepb.Kind_BEGAN {
+			s, err := d.Settings(rec)
+			if err != nil || s.Plans[0].Rate != 1.4 || rec.GetSeed() != 0x1f {
+				t.Errorf("%v %v", s, err)
+			}
+		}
+		if rec.GetKind() == capturepb.Kind_REQUESTED && rec.GetCustomer() == 0xb4d65521 {
+			t.Error("a customer's id stands as it is")
+		}
+	}
+	shown := fmt.Sprintf("%x", key.show(0, ofCustomers)) // of records without a customer
+	want := []string{"1000000 BEGAN 0 " + shown}
+	for i := range 3 {
+		want = append(want, fmt.Sprintf("%d REQUESTED %d b4d65521", 1000000+i, i), fmt.Sprintf("%d REFUSE %d %s", 1000000+i, i, shown))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestEveryFlipAndEveryCutIsFound is exhaustive over a small capture: each byte changed,
+// and each shorter length. What was whole before it may still be read, nothing else.
+func TestEveryFlipAndEveryCutIsFound(t *testing.T) {
+	key := testKey(t, 7)
+	text, err := os.ReadFile(write(t, Options{Key: key}, 4)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := read(text, key); err != nil || n != 9 {
+		t.Fatalf("%d records, %v", n, err)
+	}
+	for i := range text {
+		for _, by := range []byte{1, 0x80, 0xff} {
+			bad := bytes.Clone(text)
+			bad[i] ^= by
+			if n, err := read(bad, key); err == nil {
+				t.Fatalf("byte %d of %d changed by %02x: %d records and no fault", i, len(text), by, n)
+			}
+		}
+	}
+	for i := range text {
+		if n, err := read(text[:i], key); err == nil {
+			t.Fatalf("cut to %d of %d bytes: %d records and no fault", i, len(text), n)
+		}
+	}
+	if _, err := read(append(bytes.Clone(text), 0), key); !errors.Is(err, ErrAltered) {
+		t.Errorf("a byte more: %v", err)
+	}
+}
+
+// TestEachFaultIsNamed: another key, another version, damage, a cut and a change that
+// keeps the sum are told apart.
+func TestEachFaultIsNamed(t *testing.T) {
+	key := testKey(t, 7)
+	text, err := os.ReadFile(write(t, Options{Key: key}, 4)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := segmentHead + linkSize
+	change := func(i int, by byte) []byte {
+		bad := bytes.Clone(text)
+		bad[i] ^= by
+		return bad
+	}
+	forged := func() []byte { // with a sum that fits
+		var b block
+		b.parse(text[at : at+blockHead])
+		payload := text[at+blockHead : at+blockHead+int(b.size)]
+		other := testKey(t, 8)
+		out, _ := b.seal(bytes.Clone(text[:at]), &other, text[segmentHead:at], payload)
+		return append(out, text[at+blockHead+int(b.size):]...)
+	}
+	for name, c := range map[string]struct {
+		text []byte
+		key  Key
+		want error
+	}{
+		"another key":     {text, testKey(t, 8), ErrKey},
+		"no key":          {text, Key{}, ErrKey},
+		"a later version": {change(len(magic)+1, 3), key, ErrVersion},
+		"another file":    {[]byte("PK\x03\x04 and so on, for as long as a head is at the least, which is 60 bytes"), key, ErrNotOne},
+		"damage":          {change(at+blockHead+3, 1), key, ErrDamaged},
+		"a forged block":  {forged(), key, ErrAltered},
+		"no end":          {text[:len(text)-blockHead], key, ErrUnended},
+		"half an end":     {text[:len(text)-5], key, ErrUnended},
+	} {
+		if _, err := read(c.text, c.key); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+		if strings.Contains(fmt.Sprint(c.want), "\n") {
+			t.Errorf("%s: more than a line", name)
+		}
+	}
+}
+
+func TestIdsAreReplacedOneToOne(t *testing.T) {
+	key := testKey(t, 7)
+	rapid.Check(t, func(t *rapid.T) {
+		id, tweak := rapid.Uint64().Draw(t, "id"), byte(rapid.IntRange(0, 1).Draw(t, "tweak"))
+		if got := key.show(key.hide(id, tweak), tweak); got != id {
+			t.Fatalf("%x became %x", id, got)
+		}
+	})
+	if key.hide(5, ofCustomers) == key.hide(5, ofNames) {
+		t.Error("a customer and a name are replaced alike")
+	}
+	none := Key{}
+	if none.hide(5, ofCustomers) != 5 {
+		t.Error("replaced without a key")
+	}
+}
+
+func TestAKeyFileIsItsOwnersAlone(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(file, []byte(hex.EncodeToString(make([]byte, secretSize))+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadKey(file); err != nil {
+		t.Error(err)
+	}
+	if err := os.Chmod(file, 0o640); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadKey(file); err == nil || !strings.Contains(err.Error(), "chmod 600") {
+		t.Errorf("loose permissions: %v", err)
+	}
+	if err := os.WriteFile(file, []byte("abc"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadKey(file); err == nil {
+		t.Error("half a key is taken")
+	}
+}
+
+// TestSegmentsFollowEachOther: a capture of several segments reads as one; one that is
+// missing in the middle is said so.
+func TestSegmentsFollowEachOther(t *testing.T) {
+	key := testKey(t, 7)
+	files := write(t, Options{Key: key, SegmentMost: 1}, 9000)
+	if len(files) < 3 {
+		t.Fatalf("%d segments", len(files))
+	}
+	all := func(files []string) (int, error) {
+		segments, err := Find(files...)
+		if err != nil {
+			return 0, err
+		}
+		s := NewSet(segments, &key)
+		defer s.Close()
+		for {
+			if _, _, err := s.Next(); err != nil {
+				return s.Records(), err
+			}
+		}
+	}
+	if n, err := all(files); !errors.Is(err, io.EOF) || n != 18001 {
+		t.Errorf("%d records, %v", n, err)
+	}
+	if _, err := all(append(files[:1:1], files[2:]...)); !errors.Is(err, ErrSequence) {
+		t.Errorf("without the second: %v", err)
+	}
+	if err := os.Rename(files[1], files[1]+".x"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOldSegmentsMakeRoom(t *testing.T) {
+	folder := t.TempDir()
+	files := write(t, Options{Folder: folder, SegmentMost: 4000, KeptMost: 20000}, 60000)
+	sum := int64(0)
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += info.Size()
+	}
+	if sum > 40000 || strings.HasSuffix(files[0], "-000001"+suffix) {
+		t.Errorf("%d bytes in %d segments, the first %s", sum, len(files), filepath.Base(files[0]))
+	}
+}
+
+// TestALostFolderIsAGapNotAnEnd: what can't be written is counted, and told where the
+// capture goes on.
+func TestALostFolderIsAGapNotAnEnd(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "captures")
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	w := &Writer{options: Options{Folder: folder, Name: "n0", SegmentMost: 1, KeptMost: 1 << 30}, link: make([]byte, linkSize)}
+	w.Encoder = newEncoder(nil, &w.options.Key)
+	var err error
+	if w.zstd, err = newZstd(); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.rotate(); err != nil {
+		t.Fatal(err)
+	}
+	record, err := proto.Marshal(&capturepb.Record{Kind: capturepb.Kind_GONE, Id: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := filled{raw: append([]byte{byte(len(record))}, record...), records: 1, first: 1e6}
+	w.write(one) // ends the first segment, begins the second
+	if err := os.RemoveAll(folder); err != nil {
+		t.Fatal(err)
+	}
+	w.write(one) // into a file that is not there any more, and then no third can be begun
+	w.write(one)
+	if w.lost != 1 || w.Stats.Lost.Load() != 1 {
+		t.Fatalf("%d lost, %d told", w.lost, w.Stats.Lost.Load())
+	}
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	w.retryAt = w.retryAt.Add(-2 * retryEvery)
+	w.write(one)
+	w.end()
+	segments, err := Find(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewSet(segments, &w.options.Key)
+	defer s.Close()
+	var gap *Gap
+	if _, _, err := s.Next(); !errors.As(err, &gap) || gap.Lost != 1 {
+		t.Fatalf("the gap is told as %v", err)
+	}
+	if r, at, err := s.Next(); err != nil || r.GetId() != 3 || at != 1e6 {
+		t.Errorf("behind the gap: %v %v", r, err)
+	}
+}
+
+// slow is a taker whose queue is always full.
+type slow struct{ n int }
+
+func (s *slow) take(b filled) []byte { s.n += int(b.records); return b.raw[:0] }
+
+// TestABlockIsHandedOnBeforeItIsOld: a crash loses a quarter of a second at most.
+func TestABlockIsHandedOnBeforeItIsOld(t *testing.T) {
+	to := &slow{}
+	e := newEncoder(to, &Key{})
+	for i := range 100 {
+		e.Rang(policy.Micros(1e6+i*10000), 0)
+	}
+	if to.n < 75 {
+		t.Errorf("%d of 100 records in a second were handed on", to.n)
+	}
+}
+
+// FuzzRead: a reader must not panic, nor hold more than a block.
+func FuzzRead(f *testing.F) {
+	text, err := os.ReadFile(write(f, Options{}, 4)[0])
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add(text[:len(text)-blockHead])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if n, err := read(text, Key{}); err == nil && n > len(text) {
+			t.Fatalf("%d records in %d bytes", n, len(text))
+		}
+	})
+}
--- /dev/null
+++ b/capture/set.go
@@ -0,0 +1,187 @@
+package capture
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"foxwood/capture/capturepb"
+	"foxwood/policy"
+)
+
+// Segment is one file of a capture.
+type Segment struct {
+	File  string
+	Life  uint64
+	N     uint32
+	Print [printSize]byte
+	First policy.Micros // time of its first record, 0 where it has none
+	Size  int64
+}
+
+// Find lists the segments at some paths, each a file or a folder, in the order of their
+// lives' beginnings and of their numbers. A file that is not a capture is an error, but
+// not one of another kind in a folder.
+func Find(paths ...string) ([]Segment, error) {
+	var all []Segment
+	for _, p := range paths {
+		info, err := os.Stat(p)
+		if err != nil {
+			return nil, fmt.Errorf("capture: %w", err)
+		}
+		files := []string{p}
+		if info.IsDir() {
+			if files, err = filepath.Glob(filepath.Join(p, "*"+suffix)); err != nil {
+				return nil, fmt.Errorf("capture: %w", err)
+			}
+		}
+		for _, f := range files {
+			s, err := look(f)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", f, err)
+			}
+			all = append(all, s)
+		}
+	}
+	began := map[uint64]policy.Micros{}
+	for _, s := range all {
+		if at, ok := began[s.Life]; !ok || s.First > 0 && s.First < at {
+			began[s.Life] = s.First
+		}
+	}
+	slices.SortFunc(all, func(a, b Segment) int {
+		return cmp.Or(cmp.Compare(began[a.Life], began[b.Life]), cmp.Compare(a.Life, b.Life), cmp.Compare(a.N, b.N))
+	})
+	return all, nil
+}
+
+// look reads a segment's head and its first block's time.
+func look(file string) (Segment, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return Segment{}, err
+	}
+	defer f.Close()
+	b := make([]byte, segmentHead+linkSize+blockHead)
+	n, err := io.ReadFull(f, b)
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return Segment{}, ErrNotOne
+	}
+	var h header
+	if err := h.parse(b[:n]); err != nil {
+		return Segment{}, err
+	}
+	s := Segment{File: file, Life: h.life, N: h.n, Print: h.print}
+	if n == len(b) {
+		var first block
+		first.parse(b[segmentHead+linkSize:])
+		s.First = first.first
+	}
+	if info, err := f.Stat(); err == nil {
+		s.Size = info.Size()
+	}
+	return s, nil
+}
+
+// Set reads segments one after the other, as one capture.
+type Set struct {
+	key      *Key
+	segments []Segment
+	file     *os.File
+	reader   *Reader
+	at       int // of the segment that is read
+	link     []byte
+	records  int
+}
+
+// NewSet reads segments in the order of Find.
+func NewSet(segments []Segment, key *Key) *Set { return &Set{key: key, segments: segments} }
+
+// Current is the segment that is read.
+func (s *Set) Current() Segment { return s.segments[min(s.at, len(s.segments)-1)] }
+
+// Records is how many records have been given out.
+func (s *Set) Records() int { return s.records }
+
+// Close ends reading.
+func (s *Set) Close() {
+	if s.reader != nil {
+		s.reader.Close()
+		_ = s.file.Close()
+		s.reader = nil
+	}
+}
+
+// Cut is a segment that ends before its end: its gatekeeper died, or it was cut. What
+// follows may be read on.
+type Cut struct {
+	File string
+	Err  error
+}
+
+func (c *Cut) Error() string { return c.File + ": " + c.Err.Error() }
+
+// Unwrap is what was found.
+func (c *Cut) Unwrap() error { return c.Err }
+
+// Next gives the next record, as Reader.Next does, over all segments. A *Cut is told once
+// for each segment that is cut, as is a *Gap; io.EOF is the end of the last.
+func (s *Set) Next() (*capturepb.Record, policy.Micros, error) {
+	for {
+		if s.reader == nil {
+			if s.at >= len(s.segments) {
+				return nil, 0, io.EOF
+			}
+			if err := s.open(); err != nil {
+				return nil, 0, err
+			}
+		}
+		r, at, err := s.reader.Next()
+		var gap *Gap
+		switch {
+		case err == nil:
+			s.records++
+			return r, at, nil
+		case errors.As(err, &gap):
+			return nil, 0, err
+		}
+		file, link := s.segments[s.at].File, s.reader.Link()
+		s.Close()
+		s.at++
+		if s.link = link; errors.Is(err, io.EOF) {
+			continue
+		}
+		s.link = nil // a block may have been begun that is not whole
+		if errors.Is(err, ErrUnended) {
+			return nil, 0, &Cut{file, err}
+		}
+		return nil, 0, fmt.Errorf("%s: %w", file, err)
+	}
+}
+
+// open begins the next segment. It must follow the one before where they are of one life.
+func (s *Set) open() error {
+	seg := s.segments[s.at]
+	var before []byte
+	if s.at > 0 && s.segments[s.at-1].Life == seg.Life {
+		if s.segments[s.at-1].N+1 != seg.N {
+			return fmt.Errorf("%s: segment %d behind %d: %w", seg.File, seg.N, s.segments[s.at-1].N, ErrSequence)
+		}
+		before = s.link
+	}
+	f, err := os.Open(seg.File)
+	if err != nil {
+		return fmt.Errorf("capture: %w", err)
+	}
+	r, err := NewReader(f, s.key, before)
+	if err != nil {
+		_ = f.Close()
+		return fmt.Errorf("%s: %w", seg.File, err)
+	}
+	s.file, s.reader = f, r
+	return nil
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"foxwood/policy"
 )
@@ -101,7 +102,7 @@
 // Gatekeeper is one gatekeeper's requests, executions and timers.
 type Gatekeeper struct {
 	clock   *Clock
-	decide  *policy.Gateway
+	decide  Module
 	fleet   Fleet
 	counter Counter
 	wake    func(at float64)
@@ -113,6 +114,7 @@
 	wokenAt  float64
 	patience float64 // of counter calls
 	classes  []policy.Class
+	recorder Recorder
 	deciding bool
 	waiting  []func()               // events that came while a decision was being made
 	known    map[policy.Server]bool // the listed workers, and whether they take work
@@ -126,14 +128,16 @@
 	Fleet    Fleet
 	Counter  Counter
 	Wake     func(at float64) // asks for a call of Advance at a time
+	// Recorder, where set, is told all that enters and leaves the decision module.
+	Recorder Recorder
 }
 
 // New makes a gatekeeper and starts its decision module.
 func New(c Config) *Gatekeeper {
 	g := &Gatekeeper{
-		clock: c.Clock, decide: policy.New(c.Settings, c.Seed), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
+		clock: c.Clock, decide: module(c), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
 		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{},
-		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes,
+		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes, recorder: c.Recorder,
 	}
 	if g.patience <= 0 {
 		g.patience = 50
@@ -142,6 +146,14 @@
 	return g
 }
 
+// module is the decision module, with the recorder around it where there is one.
+func module(c Config) Module {
+	if c.Recorder != nil {
+		return newRecorded(c.Settings, c.Seed, c.Recorder)
+	}
+	return policy.New(c.Settings, c.Seed)
+}
+
 // enter runs one event on the decision module. An event that a link or front
 // reports from inside a decision waits until that decision is made.
 func (g *Gatekeeper) enter(event func(now policy.Micros)) {
@@ -191,6 +203,9 @@
 	}
 	r.id = g.lastID
 	g.requests[r.id] = r
+	if g.recorder != nil && r.Name != "" {
+		g.recorder.Named(r.id, r.Name)
+	}
 	g.enter(func(now policy.Micros) {
 		if r.over { // the client left while the request waited
 			return
@@ -269,16 +284,21 @@
 			delete(g.known, e.Server)
 		}
 	}
+	var released []policy.Server
 	for id, was := range before {
 		if was && !g.known[id] {
-			g.fleet.Release(id)
+			released = append(released, id)
 		}
 	}
 	for id, ready := range g.known {
 		if _, was := before[id]; !ready && !was {
-			g.fleet.Release(id)
+			released = append(released, id)
 		}
 	}
+	slices.Sort(released) // their executions' ends reach the module in this order
+	for _, id := range released {
+		g.fleet.Release(id)
+	}
 	g.enter(func(now policy.Micros) { g.decide.Servers(now, g, kind, entries) })
 }
 
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -75,6 +75,26 @@
 	}
 	proxy.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to serve at")
 	proxy.Flags().StringSliceVar(&workers, "workers", nil, "addresses of workers")
-	group.AddCommand(transports, proxy)
+	group.AddCommand(transports, newMeasureCapture(), proxy)
 	return group
 }
+
+func newMeasureCapture() *cobra.Command {
+	o := trial.Options{Progress: os.Stderr, Loads: []float64{0.5}, Fleets: trial.Fleets()[:1]}
+	c := &cobra.Command{
+		Use:   "capture",
+		Short: "What a capture costs a gatekeeper, and what a replay of it does",
+		Args:  noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return trial.Captures(ctx, o, c.OutOrStdout())
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&o.Runs, "runs", 10, "how often each is played")
+	f.DurationVar(&o.For, "for", 4*time.Second, "how long a run is")
+	f.DurationVar(&o.Settle, "settle", time.Second, "of it, not counted")
+	f.Uint64Var(&o.Seed, "seed", 1, "of the arrivals, one more in each run")
+	return c
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -77,7 +77,7 @@
 		RunE:  func(*cobra.Command, []string) error { return service.Run(named(file)) },
 	}
 	run.Flags().StringVarP(&file, "config", "c", "", "configuration, .hcl or JSON (default: what EDGE_CONFIG names)")
-	root.AddCommand(run, newCheck(), newEmulate(), newImport(), newLoad(), newMeasure(), newVersion())
+	root.AddCommand(run, newCapture(), newCheck(), newEmulate(), newExplain(), newImport(), newLoad(), newMeasure(), newReplay(), newVersion())
 	return root
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,9 +47,21 @@
 	// says otherwise.
 	Transport link.Transport `json:"-"`
 
+	// Capture is where what the module is told is kept; nothing is where it is nil.
+	Capture *Capture `json:"-"`
+
 	terms *terms // of an HCL file
 }
 
+// Capture is how captures are kept.
+type Capture struct {
+	Folder    string  `hcl:"folder"`
+	Key       string  `hcl:"key,optional"` // file with the key; ids stand as they are without
+	SegmentMB int64   `hcl:"segment_mb,optional"`
+	KeptMB    int64   `hcl:"kept_mb,optional"`
+	KeptHours float64 `hcl:"kept_hours,optional"`
+}
+
 // terms is what an HCL file says in the place of the settings object.
 type terms struct {
 	set   policy.Settings
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -37,6 +37,7 @@
 	Plans     []planBlock     `hcl:"plan,block"`
 	Classes   []classBlock    `hcl:"class,block"`
 	Pools     []poolBlock     `hcl:"pool,block"`
+	Capture   *Capture        `hcl:"capture,block"`
 }
 
 type counterBlock struct {
@@ -141,7 +142,7 @@
 	if len(bad.list) > 0 {
 		return Config{}, errors.Join(bad.list...)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Seed: f.Seed, Discovery: f.Discovery, XDS: f.XDS, OpenAPI: f.OpenAPI}
+	c := Config{Name: f.Name, Listen: f.Listen, Seed: f.Seed, Discovery: f.Discovery, XDS: f.XDS, OpenAPI: f.OpenAPI, Capture: f.Capture}
 	if f.Limits != nil {
 		c.Limits = *f.Limits
 	}
--- /dev/null
+++ b/internal/replay/explain.go
@@ -0,0 +1,234 @@
+package replay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"foxwood/capture"
+	"foxwood/capture/capturepb"
+	"foxwood/gatekeeper"
+	"foxwood/policy"
+)
+
+// viewer is a module that tells what it thinks. policy.Gateway is one.
+type viewer interface {
+	View(now policy.Micros, customer uint64) policy.View
+}
+
+// explainer follows one request through a capture.
+type explainer struct {
+	to      io.Writer
+	dec     *capture.Decoder
+	name    string // that the front has for it, or its number
+	number  uint32
+	found   bool
+	over    bool
+	request policy.Request
+	began   policy.Micros
+	set     policy.Settings
+	before  policy.View // before the call under way
+	kind    capturepb.Kind
+	status  string
+}
+
+// ErrNoRequest tells that a capture does not hold a request.
+var ErrNoRequest = errors.New("the capture holds no such request")
+
+// Explain tells, in words and figures, what became of a request and why: from the state
+// that the module had before each call that decided on it. id is the name that the front
+// has for the request (on the platform its X-Trace-Id) or its number in the decision log.
+func Explain(to io.Writer, from Source, key *capture.Key, id string) error {
+	e := &explainer{to: to, dec: capture.NewDecoder(key), name: id}
+	if n, err := strconv.ParseUint(id, 10, 32); err == nil && strconv.FormatUint(n, 10) == id { // names are longer, or begin with zeros
+		e.number = uint32(n)
+	}
+	report, err := Run(from, key, Options{Named: e.named, Watch: e.watch, Decided: e.decided, Stop: func() bool { return e.over }})
+	if err != nil {
+		return err
+	}
+	if !e.found {
+		return fmt.Errorf("%q: %w", id, ErrNoRequest)
+	}
+	if len(report.Differences) > 0 {
+		fmt.Fprintln(to, "This build decides otherwise than the one that was recorded: see foxwood replay.")
+	}
+	if !e.over {
+		fmt.Fprintln(to, "The capture ends before it was answered.")
+	}
+	return nil
+}
+
+// named is told the name that the front has for a request.
+func (e *explainer) named(id uint32, name string) {
+	if name == e.name && !e.found {
+		e.number = id
+	}
+}
+
+// watch is called before each call of the module.
+func (e *explainer) watch(m gatekeeper.Module, r *capturepb.Record, at policy.Micros) {
+	e.kind = r.GetKind()
+	switch e.kind {
+	case capturepb.Kind_BEGAN, capturepb.Kind_CLASSES:
+		if s, err := e.dec.Settings(r); err == nil {
+			if e.kind == capturepb.Kind_BEGAN {
+				e.set = s
+			} else {
+				e.set.Classes = s.Classes
+			}
+		}
+	case capturepb.Kind_ENDED:
+		e.status = status(r.GetStatus())
+		if e.found && r.GetId() == e.number {
+			fmt.Fprintf(e.to, "%s attempt %d on worker %016x ended: %s after %.1f ms\n", e.since(at), r.GetAttempt(), r.GetServer(),
+				e.status, float64(r.GetLatency())/1000)
+			e.over = r.GetTerminal()
+		}
+	case capturepb.Kind_GONE:
+		if e.found && r.GetId() == e.number {
+			fmt.Fprintf(e.to, "%s its client left\n", e.since(at))
+			e.over = true
+		}
+	case capturepb.Kind_REQUESTED:
+		if !e.found && e.number != 0 && r.GetId() == e.number {
+			e.begin(r, at)
+		}
+	}
+	if v, ok := m.(viewer); ok && e.found && !e.over {
+		e.before = v.View(at, e.request.Customer)
+		if e.kind == capturepb.Kind_REQUESTED && r.GetId() == e.number {
+			e.figures()
+		}
+	}
+}
+
+func (e *explainer) begin(r *capturepb.Record, at policy.Micros) {
+	e.found, e.began, e.request = true, at, e.dec.Request(r)
+	q := &e.request
+	fmt.Fprintf(e.to, "Request %d (%s) came at %d.%06d: class %d, plan %d, customer %016x, %g units, %.0f ms left", q.ID, e.name,
+		at/1e6, at%1e6, q.Class, q.Plan, q.Customer, q.Units, float64(q.Left)/1000)
+	if q.Again {
+		fmt.Fprint(e.to, ", marked as a repeat")
+	}
+	fmt.Fprintln(e.to, ".")
+}
+
+// figures prints the state that the request met.
+func (e *explainer) figures() {
+	v, c := &e.before, &e.before.Customer
+	fmt.Fprintf(e.to, "\nWhat it met:\n  room      %d attempts out of a bound of %.1f (%d on silent workers), %d requests held\n", v.InFlight, v.Bound, v.Stuck, v.Held)
+	if !v.Known {
+		fmt.Fprintln(e.to, "  customer  not known here: its bucket begins full, its part of a ceiling with what has filled since this gatekeeper's start")
+	} else {
+		fmt.Fprintf(e.to, "  bucket    %.2f of %.2f units, filling by %.2f a second (our part of the quota: %.0f%%)\n", c.Tokens, c.Store, c.Rate, 100*c.Share)
+		if c.Shared {
+			heard := "no total of the counter is known"
+			if c.HeardAge >= 0 {
+				heard = fmt.Sprintf("the last total is %.0f ms old", float64(c.HeardAge)/1000)
+			}
+			fmt.Fprintf(e.to, "  store     %.2f units by what is known of it; the others use %.2f a second; %s\n", c.Level, c.OthersRate, heard)
+			fmt.Fprintf(e.to, "  counter   %.0f%% of the calls are made\n", 100*v.Calls)
+		}
+		if c.Ceiling {
+			fmt.Fprintf(e.to, "  ceiling   %.2f units in our part\n", c.Guard)
+		}
+	}
+	for _, s := range v.Servers {
+		note := ""
+		switch {
+		case !s.Listed || s.State != policy.Ready:
+			note = ", takes nothing new"
+		case s.Shut > 0:
+			note = fmt.Sprintf(", shut off for %.0f ms", float64(s.Shut)/1000)
+		case s.Full > 0:
+			note = fmt.Sprintf(", left alone as full for %.0f ms", float64(s.Full)/1000)
+		case s.Cold:
+			note = ", cold"
+		}
+		fmt.Fprintf(e.to, "  worker    %016x: %d out, slowness %.2f, cost %.2f%s\n", uint64(s.Server), s.Open, s.Slowness, s.Cost, note)
+	}
+	fmt.Fprintln(e.to, "\nWhat became of it:")
+}
+
+func (e *explainer) since(at policy.Micros) string {
+	return fmt.Sprintf("  +%.1f ms", float64(at-e.began)/1000)
+}
+
+// decided is told each call by the module.
+func (e *explainer) decided(c Call, at policy.Micros) {
+	if !e.found || e.over || c.ID != e.number {
+		return
+	}
+	switch c.Kind {
+	case capturepb.Kind_SEND:
+		fmt.Fprintf(e.to, "%s sent to worker %016x, waited for up to %.0f ms%s\n", e.since(at), uint64(c.Server), float64(c.Span)/1000, e.whyThere(c.Server))
+	case capturepb.Kind_CANCEL:
+		fmt.Fprintf(e.to, "%s attempt %d is given up\n", e.since(at), c.Attempt)
+	case capturepb.Kind_FAIL:
+		fmt.Fprintf(e.to, "%s failed: an attempt may have run, and its class forbids to say that trying again is harmless\n", e.since(at))
+		e.over = true
+	case capturepb.Kind_REFUSE:
+		fmt.Fprintf(e.to, "%s refused, to come back after %.0f ms: %s\n", e.since(at), float64(c.Span)/1000, e.whyRefused())
+		e.over = true
+	}
+}
+
+// whyThere tells how a worker compared with the others that could be had.
+func (e *explainer) whyThere(to policy.Server) string {
+	cheaper, open, cost := 0, 0, 0.0
+	for _, s := range e.before.Servers {
+		if s.Server == to {
+			cost = s.Cost
+		}
+	}
+	for _, s := range e.before.Servers {
+		if s.Listed && s.State == policy.Ready && s.Shut == 0 && s.Full == 0 {
+			if open++; s.Cost < cost {
+				cheaper++
+			}
+		}
+	}
+	if cheaper == 0 {
+		return fmt.Sprintf(": the least cost, %.2f, of %d that take work", cost, open)
+	}
+	return fmt.Sprintf(": cost %.2f; %d of %d that take work cost less, but are cold, tried before, outside of our subset, or lost by chance", cost, cheaper, open)
+}
+
+// whyRefused finds the bound that the state before the refusal had reached.
+func (e *explainer) whyRefused() string {
+	v, c, units := &e.before, &e.before.Customer, e.request.Units
+	beyond := func() string {
+		switch {
+		case v.Known && c.Ceiling && c.Guard < units:
+			return fmt.Sprintf("our part of its ceiling holds %.2f of its %g units", c.Guard, units)
+		case v.Known && c.Shared && c.Level < units:
+			return fmt.Sprintf("beyond its quota: the store that all gatekeepers share holds %.2f of its %g units", c.Level, units)
+		case v.Known && !c.Shared && c.Tokens < min(units, c.Store):
+			return fmt.Sprintf("beyond its quota: its bucket holds %.2f of its %g units and fills by %.2f a second", c.Tokens, units, c.Rate)
+		}
+		return ""
+	}
+	switch e.kind {
+	case capturepb.Kind_RANG:
+		return fmt.Sprintf("it was held and could not meet its aim any more (%d attempts out of a bound of %.1f, %d held)", v.InFlight, v.Bound, v.Held)
+	case capturepb.Kind_COUNTED:
+		if why := beyond(); why != "" {
+			return why + ", by what the counter said"
+		}
+		return "the counter's answer did not let it in"
+	case capturepb.Kind_ENDED:
+		return fmt.Sprintf("its attempt ended (%s) and there is no time, try or worker left for another", e.status)
+	}
+	if why := beyond(); why != "" {
+		return why
+	}
+	if float64(v.InFlight-v.Stuck) >= v.Bound {
+		return fmt.Sprintf("no room before its wanted time: %d attempts out of a bound of %.1f, and %d held", v.InFlight, v.Bound, v.Held)
+	}
+	if v.Known && c.Tokens < min(units, c.Store) {
+		return fmt.Sprintf("beyond our part of its quota: the bucket holds %.2f of its %g units", c.Tokens, units)
+	}
+	return "its client's time is too short for an answer within its aim"
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,302 @@
+package replay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"foxwood/capture"
+	"foxwood/capture/capturepb"
+	"foxwood/gatekeeper"
+	"foxwood/policy"
+)
+
+// rig is a core with stand-ins around it, whose module is recorded.
+type rig struct {
+	*gatekeeper.Gatekeeper
+	clock *gatekeeper.Clock
+	out   []*gatekeeper.Execution
+	calls []*gatekeeper.Count
+	open  []*gatekeeper.Request
+}
+
+func (r *rig) Execute(x *gatekeeper.Execution)                   { r.out = append(r.out, x) }
+func (r *rig) Abandon(*gatekeeper.Execution) bool                { return true }
+func (r *rig) Release(policy.Server)                             {}
+func (r *rig) Add(c *gatekeeper.Count)                           { r.calls = append(r.calls, c) }
+func (r *rig) Served(q *gatekeeper.Request, _ gatekeeper.Answer) { r.over(q) }
+func (r *rig) Throttled(q *gatekeeper.Request, _ float64)        { r.over(q) }
+func (r *rig) Failed(q *gatekeeper.Request)                      { r.over(q) }
+func (r *rig) over(q *gatekeeper.Request) {
+	for i, o := range r.open {
+		if o == q {
+			r.open = append(r.open[:i], r.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func settings() policy.Settings {
+	return policy.Settings{Gateways: 3, Self: 1, Tick: 4000, MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1e6,
+		Counter: true, CounterTimeout: 50e3, Largest: 6, InlineLoad: []string{"inflight"}, Settles: true,
+		ColdShare: 0.16, ColdFor: 14e6, FallMultiple: 3, FallWindow: 1.5e6,
+		Classes: []policy.Class{{Aim: 400e3, Deadline: 2e6, Worth: 1, Repeat: policy.Safe},
+			{Aim: 750e3, Deadline: 2e6, Worth: 2, Repeat: policy.Keyed, Window: 1e6}},
+		Plans: []policy.Plan{{Rate: 2, Burst: 8, Price: 1, OverCost: 1}, {Rate: 60, Burst: 90, Price: 2, CeilingRate: 90, CeilingBurst: 99}}}
+}
+
+func newRig(rec gatekeeper.Recorder, at float64) *rig {
+	r := &rig{clock: gatekeeper.NewClock()}
+	r.clock.Set(at)
+	r.Gatekeeper = gatekeeper.New(gatekeeper.Config{Settings: settings(), Seed: 0x1f, Clock: r.clock, Fleet: r, Counter: r,
+		Wake: func(float64) {}, Recorder: rec})
+	return r
+}
+
+// day plays a random day on a core: requests, ends of all kinds, counter replies, late
+// ones too, lists, replaced classes, clients that leave, many events at one time.
+func (r *rig) day(t *rapid.T) {
+	list := func() {
+		kind := rapid.SampledFrom([]policy.ListKind{policy.FullList, policy.Delta}).Draw(t, "list")
+		var entries []policy.Entry
+		for i := range rapid.IntRange(1, 4).Draw(t, "workers") {
+			e := policy.Entry{Server: policy.Server(i + 1), State: rapid.SampledFrom([]policy.State{policy.Ready, policy.Ready, policy.Draining}).Draw(t, "state"), Weight: 1}
+			if rapid.Bool().Draw(t, "cold") {
+				e.ReadyAt = int64(r.clock.Now() * 1000)
+			}
+			entries = append(entries, e)
+		}
+		r.Workers(kind, entries)
+	}
+	list()
+	for range rapid.IntRange(1, 120).Draw(t, "events") {
+		switch rapid.IntRange(0, 11).Draw(t, "event") {
+		default:
+			q := &gatekeeper.Request{Class: rapid.IntRange(0, 1).Draw(t, "class"), Plan: rapid.IntRange(0, 1).Draw(t, "plan"),
+				Left: rapid.Float64Range(5, 2000).Draw(t, "left"), Units: rapid.Float64Range(0.5, 6).Draw(t, "units"),
+				Spread: rapid.IntRange(1, 3).Draw(t, "spread"), Caller: r}
+			q.Customer = uint64(q.Plan*10 + rapid.IntRange(0, 3).Draw(t, "customer"))
+			r.open = append(r.open, q)
+			r.Take(q)
+		case 4, 5, 6:
+			if len(r.out) > 0 {
+				i := rapid.IntRange(0, len(r.out)-1).Draw(t, "which")
+				x := r.out[i]
+				r.out = append(r.out[:i], r.out[i+1:]...)
+				o := gatekeeper.Outcome{Status: rapid.SampledFrom([]policy.Status{policy.OK, policy.OK, policy.OK, policy.Full, policy.Failed,
+					policy.Reset, policy.ConnectFailed}).Draw(t, "status"), Units: rapid.Float64Range(0, 6).Draw(t, "true")}
+				if rapid.Bool().Draw(t, "loaded") {
+					o.Load = []float32{float32(rapid.IntRange(0, 40).Draw(t, "load"))}
+				}
+				r.Done(x, o)
+			}
+		case 7:
+			if len(r.calls) > 0 {
+				c := r.calls[0]
+				r.calls = r.calls[1:]
+				r.Counted(c, rapid.SampledFrom([]policy.Status{policy.OK, policy.OK, policy.Full, policy.Reset}).Draw(t, "said"),
+					rapid.Float64Range(0, 50).Draw(t, "total"))
+			}
+		case 8:
+			if len(r.open) > 0 {
+				q := r.open[0]
+				r.open = r.open[1:]
+				r.Gone(q)
+			}
+		case 9:
+			if rapid.IntRange(0, 5).Draw(t, "rare") == 0 {
+				list()
+			}
+		case 10:
+			if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+				s := settings()
+				s.Classes[0].Worth = rapid.Float64Range(0.5, 3).Draw(t, "worth")
+				r.SetClasses(s.Classes)
+			}
+		case 11:
+			r.clock.Set(r.clock.Now() + rapid.SampledFrom([]float64{0, 1, 4, 60, 300}).Draw(t, "ms"))
+			r.Advance()
+		}
+	}
+}
+
+// play replays the capture in a folder, and returns the decision log.
+func play(t interface{ Fatal(...any) }, folder string, key capture.Key) (*Report, string) {
+	segments, err := capture.Find(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := capture.NewSet(segments, &key)
+	defer set.Close()
+	var log bytes.Buffer
+	report, err := Run(set, &key, Options{Log: &log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report, log.String()
+}
+
+// TestARandomDayIsReplayedAlikeTwice records random days against the core: each replay
+// gives the recorded decisions, and the same log to the byte.
+func TestARandomDayIsReplayedAlikeTwice(t *testing.T) {
+	secret := bytes.Repeat([]byte{5}, 32)
+	keyed, err := capture.NewKey(secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		folder, err := os.MkdirTemp("", "day")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(folder)
+		key := capture.Key{}
+		if rapid.Bool().Draw(t, "keyed") {
+			key = keyed
+		}
+		w, err := capture.NewWriter(capture.Options{Folder: folder, Name: "n0", Life: 1, Key: key})
+		if err != nil {
+			t.Fatal(err)
+		}
+		newRig(w, 1.7e12).day(t)
+		w.Close()
+		report, log := play(t, folder, key)
+		if len(report.Differences) > 0 {
+			t.Fatalf("differs: %+v", report.Differences[0])
+		}
+		if report.Lives != 1 || report.Calls < 2 || report.Decisions == 0 {
+			t.Fatalf("%+v", report)
+		}
+		if _, again := play(t, folder, key); again != log {
+			t.Fatal("the second log is another")
+		}
+	})
+}
+
+// life records a short life, and leaves it as a crash would where it is not closed well.
+func life(t *testing.T, folder string, number uint64, at float64, crash bool) {
+	t.Helper()
+	w, err := capture.NewWriter(capture.Options{Folder: folder, Name: "n0", Life: number})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(w, at)
+	r.Workers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}})
+	for range 40 {
+		r.Take(&gatekeeper.Request{Class: 0, Plan: 1, Customer: 12, Left: 1000, Units: 1, Spread: 3, Caller: r})
+		r.clock.Set(r.clock.Now() + 10)
+		r.Advance()
+		for _, x := range r.out {
+			r.Done(x, gatekeeper.Outcome{Status: policy.OK, Units: 1})
+		}
+		r.out = nil
+	}
+	w.Close()
+	if !crash {
+		return
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "*.fcap"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := files[len(files)-1]
+	text, err := os.ReadFile(last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(last, text[:len(text)-100], 0o600); err != nil { // within its last block of records
+		t.Fatal(err)
+	}
+}
+
+// TestBothLivesAreReplayedAcrossADeath: a gatekeeper is killed within a block and comes
+// back. Both lives are replayed, and the cut is said.
+func TestBothLivesAreReplayedAcrossADeath(t *testing.T) {
+	folder := t.TempDir()
+	life(t, folder, 0xa, 1.7e12, true)
+	life(t, folder, 0xb, 1.7e12+5000, false)
+	report, log := play(t, folder, capture.Key{})
+	if report.Lives != 2 || len(report.Differences) > 0 {
+		t.Errorf("%d lives, %v", report.Lives, report.Differences)
+	}
+	if len(report.Notes) != 1 || !strings.Contains(report.Notes[0], "ends without its end block") {
+		t.Errorf("notes %q", report.Notes)
+	}
+	if strings.Count(log, "began seed=1f") != 2 {
+		t.Error("the log does not hold both beginnings")
+	}
+}
+
+// other is a module with settings that were changed.
+func other(s policy.Settings, seed uint64) gatekeeper.Module {
+	s.Plans[1].Rate, s.Plans[1].Burst = 1, 1
+	return policy.New(s, seed)
+}
+
+// TestAnotherModuleIsSaidToDiffer guards against a replay that can't fail: one with other
+// settings decides otherwise, and the first call in which it does is named.
+func TestAnotherModuleIsSaidToDiffer(t *testing.T) {
+	folder := t.TempDir()
+	life(t, folder, 0xa, 1.7e12, false)
+	segments, err := capture.Find(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := capture.Key{}
+	set := capture.NewSet(segments, &key)
+	defer set.Close()
+	report, err := Run(set, &key, Options{Make: other})
+	if err != nil || len(report.Differences) != 1 {
+		t.Fatalf("%+v, %v", report, err)
+	}
+	if d := report.Differences[0]; d.Call == "" || strings.Join(d.Want, ";") == strings.Join(d.Got, ";") {
+		t.Errorf("%+v", d)
+	}
+}
+
+// gapped is a source that loses some records.
+type gapped struct {
+	Source
+	n, at int
+}
+
+// Next implements Source.
+func (g *gapped) Next() (*capturepb.Record, policy.Micros, error) {
+	if g.n++; g.n == g.at {
+		for range 5 {
+			if _, _, err := g.Source.Next(); err != nil {
+				return nil, 0, err
+			}
+		}
+		return nil, 0, &capture.Gap{Lost: 5}
+	}
+	return g.Source.Next()
+}
+
+// TestNothingIsPlayedBehindAGap: what the module was told there is not known, so that
+// what it decides next can't be compared.
+func TestNothingIsPlayedBehindAGap(t *testing.T) {
+	folder := t.TempDir()
+	life(t, folder, 0xa, 1.7e12, false)
+	life(t, folder, 0xb, 1.7e12+5000, false)
+	segments, err := capture.Find(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := capture.Key{}
+	set := capture.NewSet(segments, &key)
+	defer set.Close()
+	report, err := Run(&gapped{Source: set, at: 50}, &key, Options{})
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	if report.Lives != 2 || len(report.Differences) > 0 || len(report.Notes) != 1 {
+		t.Errorf("%+v", report)
+	}
+}
--- /dev/null
+++ b/internal/replay/text.go
@@ -0,0 +1,90 @@
+package replay
+
+import (
+	"fmt"
+
+	"foxwood/capture"
+	"foxwood/capture/capturepb"
+	"foxwood/policy"
+)
+
+// Call is a call by the module. Fields that its kind does not have are zero.
+type Call struct {
+	Kind    capturepb.Kind
+	ID      uint32
+	Server  policy.Server
+	Attempt int
+	Token   uint64
+	Span    policy.Micros
+	Name    uint64
+	Amount  float64
+}
+
+// call is the call that a record holds.
+func (p *player) call(r *capturepb.Record) Call {
+	c := Call{Kind: r.GetKind(), ID: r.GetId(), Server: policy.Server(r.GetServer()), Attempt: int(r.GetAttempt()),
+		Token: r.GetToken(), Span: r.GetSpan(), Amount: r.GetAmount()}
+	if c.Kind == capturepb.Kind_COUNT {
+		c.Name = p.dec.Name(r)
+	}
+	return c
+}
+
+func (c Call) String() string {
+	ms := float64(c.Span) / 1000
+	switch c.Kind {
+	case capturepb.Kind_SEND:
+		return fmt.Sprintf("send request=%d worker=%016x timeout_ms=%.3f", c.ID, uint64(c.Server), ms)
+	case capturepb.Kind_REFUSE:
+		return fmt.Sprintf("refuse request=%d retry_after_ms=%.3f", c.ID, ms)
+	case capturepb.Kind_FAIL:
+		return fmt.Sprintf("fail request=%d", c.ID)
+	case capturepb.Kind_CANCEL:
+		return fmt.Sprintf("cancel request=%d attempt=%d", c.ID, c.Attempt)
+	case capturepb.Kind_TIMER:
+		return fmt.Sprintf("timer token=%x after_ms=%.3f", c.Token, ms)
+	case capturepb.Kind_PROBE:
+		return fmt.Sprintf("probe worker=%016x", uint64(c.Server))
+	case capturepb.Kind_COUNT:
+		return fmt.Sprintf("count name=%016x amount=%v life_ms=%.3f", c.Name, c.Amount, ms)
+	case capturepb.Kind_WATCH:
+		return "watch"
+	}
+	return fmt.Sprintf("call of kind %d", c.Kind)
+}
+
+var statuses = [...]string{"failed", "ok", "full", "timeout", "connect-failed", "reset", "cancelled", "moot"}
+
+func status(n int32) string {
+	if n < 0 || int(n) >= len(statuses) {
+		return fmt.Sprint(n)
+	}
+	return statuses[n]
+}
+
+// describe is a call of the module in words.
+func describe(r *capturepb.Record, d *capture.Decoder) string {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	switch r.GetKind() {
+	case capturepb.Kind_BEGAN:
+		return fmt.Sprintf("began seed=%x", r.GetSeed())
+	case capturepb.Kind_REQUESTED:
+		q := d.Request(r)
+		return fmt.Sprintf("requested request=%d class=%d plan=%d customer=%016x left_ms=%.3f units=%v spread=%d first=%d again=%v",
+			q.ID, q.Class, q.Plan, q.Customer, ms(q.Left), q.Units, q.Spread, q.First, q.Again)
+	case capturepb.Kind_GONE:
+		return fmt.Sprintf("gone request=%d", r.GetId())
+	case capturepb.Kind_ENDED:
+		return fmt.Sprintf("ended request=%d attempt=%d worker=%016x status=%s latency_ms=%.3f terminal=%v settled=%v load=%v",
+			r.GetId(), r.GetAttempt(), r.GetServer(), status(r.GetStatus()), ms(r.GetLatency()), r.GetTerminal(), r.GetSettled(), r.GetLoad())
+	case capturepb.Kind_COUNTED:
+		return fmt.Sprintf("counted name=%016x status=%s total=%v delay_ms=%.3f", d.Name(r), status(r.GetStatus()), r.GetAmount(), ms(r.GetSpan()))
+	case capturepb.Kind_LISTED:
+		return fmt.Sprintf("listed kind=%d entries=%d", r.GetList(), len(r.GetEntries()))
+	case capturepb.Kind_CLASSES:
+		return "classes"
+	case capturepb.Kind_RANG:
+		return fmt.Sprintf("rang token=%x", r.GetToken())
+	}
+	return fmt.Sprintf("kind %d", r.GetKind())
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"foxwood/capture"
 	"foxwood/gatekeeper"
 	"foxwood/internal/config"
 	"foxwood/internal/link"
@@ -65,9 +66,10 @@
 	hosts   *platform.HostGroup
 	watch   *link.Watch
 	counter *link.Counter
-	counts  bool           // the settings allow the counter
-	api     *openapi.Front // nil on the platform
-	xds     *xds.Server    // nil unless configured
+	counts  bool            // the settings allow the counter
+	api     *openapi.Front  // nil on the platform
+	xds     *xds.Server     // nil unless configured
+	capture *capture.Writer // nil unless configured
 }
 
 // Run serves by a configuration file until SIGTERM, and then until what was taken is
@@ -104,7 +106,16 @@
 	s.drain()
 	_ = listener.Close()
 	slog.Info("ended", "name", c.Name)
-	return s.loop.Stop()
+	return s.stop()
+}
+
+// stop ends the loop, and then what it has handed on.
+func (s *service) stop() error {
+	err := s.loop.Stop()
+	if s.capture != nil {
+		s.capture.Close()
+	}
+	return err
 }
 
 // start makes the parts and sets them to work, short of taking clients.
@@ -144,16 +155,25 @@
 			return nil, err
 		}
 	}
+	if c.Capture != nil {
+		if s.capture, err = openCapture(c, clock, seed); err != nil {
+			return nil, err
+		}
+	}
 	connectMost, idleMost := float64(names.ConnectMost)/1000, float64(names.ConnIdle)/1000*restMost
 	fleet := link.NewFleet(s.loop, clock, f, connectMost, idleMost, c.Transport)
 	s.counter = link.NewCounter(s.loop, clock, c.Counter, counterPath, connectMost)
 	s.loop.OnAlarm(func() { s.core.Advance() })
 	started := make(chan struct{})
 	s.loop.Post(func() {
-		s.core = gatekeeper.New(gatekeeper.Config{
+		made := gatekeeper.Config{
 			Settings: set, Seed: seed, Clock: clock, Fleet: fleet, Counter: s.counter,
 			Wake: func(at float64) { s.loop.Wake(at - clock.Now()) },
-		})
+		}
+		if s.capture != nil {
+			made.Recorder = s.capture
+		}
+		s.core = gatekeeper.New(made)
 		fleet.Attach(s.core)
 		s.counter.Attach(s.core)
 		s.clients = link.NewClients(s.loop, clock, s.core, f)
