Take out what nothing uses: probes, subscriptions, second copies, kinds of machine

Looked for: what is off everywhere and has no test that shows it work. Probes of workers (settings forbid them, the core's Probe did nothing, only the fuzz test set them), subscribing to discovery (the core watches in any case), second copies, the counter's price, the longest Retry-After (documented as a limit, and never looked at), the kind of machine, the number of a customer's first gatekeeper. Keys that go with them are refused with their line.

Ruled out as idle, since tests show them work for other installations: caps on attempts out, the meter, zones and cells, warm restarts.

--- a/capture/decode.go
+++ b/capture/decode.go
@@ -34,7 +34,7 @@
 func (d *Decoder) Request(r *capturepb.Record) policy.Request {
 	return policy.Request{ID: r.GetId(), Class: int(r.GetClass()), Plan: int(r.GetPlan()),
 		Customer: d.key.show(r.GetCustomer(), ofCustomers), Left: r.GetLeft(), Units: r.GetUnits(),
-		Spread: int(r.GetSpread()), First: int(r.GetFirst()), Again: r.GetAgain()}
+		Spread: int(r.GetSpread()), Again: r.GetAgain()}
 }
 
 // Outcome is what an ENDED record holds.
@@ -52,7 +52,7 @@
 	all := make([]policy.Entry, 0, len(r.GetEntries()))
 	for _, e := range r.GetEntries() {
 		all = append(all, policy.Entry{Server: policy.Server(e.GetServer()), State: policy.State(e.GetState()), Weight: e.GetWeight(),
-			Zone: int(e.GetZone()), Cell: int(e.GetCell()), Kind: int(e.GetKind()), ReadyAt: e.GetReadyAt()})
+			Zone: int(e.GetZone()), Cell: int(e.GetCell()), ReadyAt: e.GetReadyAt()})
 	}
 	return all
 }
--- a/capture/encode.go
+++ b/capture/encode.go
@@ -172,7 +172,6 @@
 	e.int(fLeft, r.Left)
 	e.float(fUnits, r.Units)
 	e.uint(fSpread, uint64(int64(r.Spread)))
-	e.uint(fFirst, uint64(int64(r.First)))
 	e.bool(fAgain, r.Again)
 	e.end()
 }
@@ -240,7 +239,6 @@
 		e.float(eWeight, w.Weight)
 		e.uint(eZone, uint64(int64(w.Zone)))
 		e.uint(eCell, uint64(int64(w.Cell)))
-		e.uint(eKind, uint64(int64(w.Kind)))
 		e.uint(eReadyAt, uint64(w.ReadyAt))
 		e.part = e.record
 		record = protowire.AppendBytes(protowire.AppendTag(record, fEntries, protowire.BytesType), e.part)
@@ -332,13 +330,6 @@
 	e.end()
 }
 
-// Probe implements policy.Host.
-func (e *Encoder) Probe(s policy.Server) {
-	e.begin(capturepb.Kind_PROBE)
-	e.fixed(fServer, uint64(s))
-	e.end()
-}
-
 // Count implements policy.Host.
 func (e *Encoder) Count(name uint64, amount float64, ttl policy.Micros) {
 	e.begin(capturepb.Kind_COUNT)
@@ -347,9 +338,3 @@
 	e.int(fSpan, ttl)
 	e.end()
 }
-
-// Watch implements policy.Host.
-func (e *Encoder) Watch() {
-	e.begin(capturepb.Kind_WATCH)
-	e.end()
-}
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -130,8 +130,8 @@
 		id := b.U32()
 		call = func(g *policy.Gateway) { g.ClientGone(now, host, id) }
 	case wire.CodeStreaming:
-		id, attempt := b.Streaming()
-		call = func(g *policy.Gateway) { g.Streaming(now, host, id, attempt) }
+		b.Streaming() // an attempt is never taken back, begun or not
+		return nil, nil
 	case wire.CodeElapsed:
 		token := b.U64()
 		call = func(g *policy.Gateway) { g.Timer(now, host, token) }
@@ -139,8 +139,8 @@
 		kind, entries := b.Sync()
 		call = func(g *policy.Gateway) { g.Servers(now, host, kind, entries) }
 	case wire.CodeProbeDone:
-		s, delay, st, load := b.ProbeDone()
-		call = func(g *policy.Gateway) { g.Probed(now, host, s, delay, st, load) }
+		b.ProbeDone() // the module asks for none
+		return nil, nil
 	case wire.CodeReq:
 		r := b.Request()
 		call = func(g *policy.Gateway) { g.Request(now, host, r) }
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -18,8 +18,7 @@
 }
 
 attempts {
-  most                = 3
-  retry_after_most_ms = 1000
+  most = 3
 }
 
 cold { # a worker that has just started gets a part of a warm one's requests at first
@@ -57,13 +56,11 @@
   worker "calc-1" {
     address = "127.0.0.1:9001"
     zone    = "hall-norte"
-    kind    = "std-2c"
     cell    = 1
   }
   worker "calc-2" {
     address = "127.0.0.1:9002"
     zone    = "hall-norte"
-    kind    = "std-2c"
     cell    = 1
   }
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -52,15 +52,15 @@
 
 // Request is a client's try. The front fills in the exported fields.
 type Request struct {
-	Name          string // the client's own for it, if any: no two open requests share one
-	Class, Plan   int
-	Customer      uint64
-	Left          float64 // milliseconds that the client still waits
-	Units         float64
-	Spread, First int
-	Again         bool // marked as a client's repeat
-	Caller        Caller
-	Payload       any // what the links send; the core does not look inside
+	Name        string // the client's own for it, if any: no two open requests share one
+	Class, Plan int
+	Customer    uint64
+	Left        float64 // milliseconds that the client still waits
+	Units       float64
+	Spread      int  // through how many gatekeepers the customer comes
+	Again       bool // marked as a client's repeat
+	Caller      Caller
+	Payload     any // what the links send; the core does not look inside
 
 	id       uint32
 	deadline float64
@@ -224,7 +224,7 @@
 		left := micros(r.deadline - g.clock.Now())
 		g.decide.Request(now, g, policy.Request{
 			ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer, Left: left,
-			Units: r.Units, Spread: r.Spread, First: r.First, Again: r.Again,
+			Units: r.Units, Spread: r.Spread, Again: r.Again,
 		})
 	})
 	return true
@@ -446,10 +446,6 @@
 	g.timers.push(timer{at: g.clock.Now() + millis(after), token: token})
 }
 
-// Probe implements policy.Host. Workers may not be probed here: the settings say
-// so, and the module does not ask.
-func (g *Gatekeeper) Probe(policy.Server) {}
-
 // Count implements policy.Host.
 func (g *Gatekeeper) Count(name uint64, amount float64, life policy.Micros) {
 	c := &Count{Name: name, Amount: amount, Life: millis(life), began: g.clock.Now()}
@@ -457,8 +453,5 @@
 	g.counter.Add(c)
 }
 
-// Watch implements policy.Host. The host group is watched from the start.
-func (g *Gatekeeper) Watch() {}
-
 // Over tells whether a call has ended, so that no answer to it is waited for.
 func (c *Count) Over() bool { return c.ended }
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -153,17 +153,7 @@
 	t.Host.Timer(token, after)
 }
 
-func (t *tee) Probe(s policy.Server) {
-	t.rec.Probe(s)
-	t.Host.Probe(s)
-}
-
 func (t *tee) Count(name uint64, amount float64, ttl policy.Micros) {
 	t.rec.Count(name, amount, ttl)
 	t.Host.Count(name, amount, ttl)
 }
-
-func (t *tee) Watch() {
-	t.rec.Watch()
-	t.Host.Watch()
-}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,8 +81,10 @@
 		"several at once": {"c.hcl", least + "pool \"x\" {\n  transport = \"carrier-pigeon\"\n" + worker +
 			"class \"k\" {\n  aim_ms = 5\n  deadline_ms = 2\n  repeat = \"twice\"\n}\npool \"y\" {\n}\n",
 			[]string{`c.hcl:8: pool "x": transport "carrier-pigeon"`, `c.hcl:14: class "k": repeat "twice"`, `c.hcl:14: class "k": aim_ms`, `c.hcl:19: pool "y": a gatekeeper has one pool`}},
-		"gather of a line":  {"c.hcl", least + "pool \"x\" {\n  transport = \"pipeline\"\n  gather_ms = 1\n" + worker, []string{"c.hcl:8", "belong to the transport batch"}},
-		"keyed, no window":  {"c.hcl", least + "class \"k\" {\n  aim_ms = 1\n  deadline_ms = 2\n  repeat = \"keyed\"\n}\npool \"x\" {\n" + worker, []string{`c.hcl:8: class "k" is keyed and states no window_ms`}},
+		"gather of a line": {"c.hcl", least + "pool \"x\" {\n  transport = \"pipeline\"\n  gather_ms = 1\n" + worker, []string{"c.hcl:8", "belong to the transport batch"}},
+		"keyed, no window": {"c.hcl", least + "class \"k\" {\n  aim_ms = 1\n  deadline_ms = 2\n  repeat = \"keyed\"\n}\npool \"x\" {\n" + worker, []string{`c.hcl:8: class "k" is keyed and states no window_ms`}},
+		"keys that are gone": {"c.hcl", least + "attempts {\n  most = 3\n  retry_after_most_ms = 1\n}\npool \"x\" {\n  worker \"w\" {\n    address = \"127.0.0.1:1\"\n    kind = \"k\"\n  }\n}\n",
+			[]string{`c.hcl:10: Unsupported argument`, `c.hcl:15: Unsupported argument`}},
 		"address of nobody": {"c.hcl", least + "pool \"x\" {\n  worker \"w\" {\n    address = \"nowhere\"\n  }\n}\n", []string{`c.hcl:9: worker "w"`}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -51,8 +51,7 @@
 }
 
 type attemptsBlock struct {
-	Most       int     `hcl:"most"`
-	RetryAfter float64 `hcl:"retry_after_most_ms,optional"`
+	Most int `hcl:"most"`
 }
 
 type coldBlock struct {
@@ -108,7 +107,6 @@
 	ID      string  `hcl:"id,label"`
 	Address string  `hcl:"address"`
 	Zone    string  `hcl:"zone,optional"`
-	Kind    string  `hcl:"kind,optional"`
 	Cell    int     `hcl:"cell,optional"`
 	Weight  float64 `hcl:"weight,optional"`
 
@@ -169,12 +167,12 @@
 
 func (f *file) terms(bad *faults) *terms {
 	s := policy.Settings{Gateways: 1, Tick: micros(or(f.Tick, defaultTick)), Cancel: true, MaxAttempts: defaultTries,
-		RetryAfter: true, MaxRetryAfter: 1e6, InlineLoad: f.Reports, Settles: f.Settles, Largest: f.Largest}
+		RetryAfter: true, InlineLoad: f.Reports, Settles: f.Settles, Largest: f.Largest}
 	if g := f.Siblings; g != nil {
 		s.Gateways, s.Self = g.Count, g.Self
 	}
 	if a := f.Attempts; a != nil {
-		s.MaxAttempts, s.MaxRetryAfter = a.Most, micros(or(a.RetryAfter, 1000))
+		s.MaxAttempts = a.Most
 	}
 	if c := f.Cold; c != nil {
 		s.ColdShare, s.ColdFor, s.FallMultiple, s.FallWindow = c.Share, micros(c.For), c.Multiple, micros(c.Window)
@@ -266,7 +264,7 @@
 			bad.at(w.Range, "worker %q stands twice", w.ID)
 		}
 		seen[w.ID] = true
-		names.Zones, names.Kinds = with(names.Zones, w.Zone), with(names.Kinds, w.Kind)
+		names.Zones = with(names.Zones, w.Zone)
 		c.Known.Instances = append(c.Known.Instances, w.instance())
 	}
 	c.terms.set.Zone = max(slices.Index(names.Zones, f.Zone), 0)
@@ -287,6 +285,6 @@
 }
 
 func (w *workerBlock) instance() platform.Instance {
-	return platform.Instance{ID: w.ID, Addr: w.Address, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell,
+	return platform.Instance{ID: w.ID, Addr: w.Address, Zone: w.Zone, Cell: w.Cell,
 		Lifecycle: "ready", Weight: or(w.Weight, 1)}
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -157,7 +157,7 @@
 			r.Spread, ok = whole(value, f.settings.Gateways)
 			ok = ok && r.Spread > 0
 		case "first":
-			r.First, ok = whole(value, f.settings.Gateways-1)
+			_, ok = whole(value, f.settings.Gateways-1)
 		}
 		if !ok {
 			return fmt.Errorf("%s states no possible %s", headTerms, name)
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -8,7 +8,6 @@
 	"slices"
 
 	"foxwood/gatekeeper"
-	"foxwood/internal/link"
 	"foxwood/internal/settings"
 	"foxwood/policy"
 )
@@ -25,7 +24,6 @@
 	ID        string  `json:"instanceId"`
 	Addr      string  `json:"hostPort"`
 	Zone      string  `json:"zone"`
-	Kind      string  `json:"machineType"`
 	Cell      int     `json:"cell"`
 	Lifecycle string  `json:"lifecycle"`
 	Weight    float64 `json:"weight"`
@@ -35,7 +33,10 @@
 // HostGroup passes every list on and remembers the version held.
 type HostGroup struct {
 	Core  *gatekeeper.Gatekeeper
-	Fleet *link.Fleet
+	Fleet interface {
+		// Place tells where a worker listens.
+		Place(id policy.Server, addr string)
+	}
 	Names settings.Names
 
 	version int64
@@ -74,7 +75,7 @@
 		e := policy.Entry{
 			Server: serverID(it.ID), State: lifecycle(it.Lifecycle), Weight: it.Weight,
 			Zone: max(slices.Index(g.Names.Zones, it.Zone), 0), Cell: it.Cell,
-			Kind: max(slices.Index(g.Names.Kinds, it.Kind), 0), ReadyAt: policy.Micros(it.Started * 1000),
+			ReadyAt: policy.Micros(it.Started * 1000),
 		}
 		if e.State == policy.Gone {
 			delete(g.addrs, e.Server)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -323,15 +323,7 @@
 	p.decided(Call{Kind: capturepb.Kind_TIMER, Token: token, Span: after})
 }
 
-// Probe implements policy.Host.
-func (p *player) Probe(s policy.Server) {
-	p.decided(Call{Kind: capturepb.Kind_PROBE, Server: s})
-}
-
 // Count implements policy.Host.
 func (p *player) Count(name uint64, amount float64, ttl policy.Micros) {
 	p.decided(Call{Kind: capturepb.Kind_COUNT, Name: name, Amount: amount, Span: ttl})
 }
-
-// Watch implements policy.Host.
-func (p *player) Watch() { p.decided(Call{Kind: capturepb.Kind_WATCH}) }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -45,7 +45,7 @@
 }
 
 func settings() policy.Settings {
-	return policy.Settings{Gateways: 3, Self: 1, Tick: 4000, MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1e6,
+	return policy.Settings{Gateways: 3, Self: 1, Tick: 4000, MaxAttempts: 3, Cancel: true, RetryAfter: true,
 		Counter: true, CounterTimeout: 50e3, Largest: 6, InlineLoad: []string{"inflight"}, Settles: true,
 		ColdShare: 0.16, ColdFor: 14e6, FallMultiple: 3, FallWindow: 1.5e6,
 		Classes: []policy.Class{{Aim: 400e3, Deadline: 2e6, Worth: 1, Repeat: policy.Safe},
--- a/internal/replay/text.go
+++ b/internal/replay/text.go
@@ -43,12 +43,8 @@
 		return fmt.Sprintf("cancel request=%d attempt=%d", c.ID, c.Attempt)
 	case capturepb.Kind_TIMER:
 		return fmt.Sprintf("timer token=%x after_ms=%.3f", c.Token, ms)
-	case capturepb.Kind_PROBE:
-		return fmt.Sprintf("probe worker=%016x", uint64(c.Server))
 	case capturepb.Kind_COUNT:
 		return fmt.Sprintf("count name=%016x amount=%v life_ms=%.3f", c.Name, c.Amount, ms)
-	case capturepb.Kind_WATCH:
-		return "watch"
 	}
 	return fmt.Sprintf("call of kind %d", c.Kind)
 }
@@ -79,8 +75,8 @@
 		return fmt.Sprintf("began seed=%x", r.GetSeed())
 	case capturepb.Kind_REQUESTED:
 		q := d.Request(r)
-		return fmt.Sprintf("requested request=%d class=%d plan=%d customer=%016x left_ms=%.3f units=%v spread=%d first=%d again=%v",
-			q.ID, q.Class, q.Plan, q.Customer, ms(q.Left), q.Units, q.Spread, q.First, q.Again)
+		return fmt.Sprintf("requested request=%d class=%d plan=%d customer=%016x left_ms=%.3f units=%v spread=%d again=%v",
+			q.ID, q.Class, q.Plan, q.Customer, ms(q.Left), q.Units, q.Spread, q.Again)
 	case capturepb.Kind_GONE:
 		return fmt.Sprintf("gone request=%d", r.GetId())
 	case capturepb.Kind_ENDED:
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -94,10 +94,10 @@
 	return false
 }
 
-const settingsText = `{"areas":["norte","sur"],"machine-types":["std-2c"],"siblings":1,"self-index":0,"tick-us":4000,
+const settingsText = `{"areas":["norte","sur"],"siblings":1,"self-index":0,"tick-us":4000,
 	"classes":[{"name":"cuota","objective-us":400000,"deadline-us":2000000,"worth":1,"repeat":"idempotent"},
 		{"name":"simulacion","objective-us":750000,"deadline-us":2000000,"worth":2,"repeat":"deduplicated","group":"all","window-us":1000000}],
-	"limits":{"cancelling":true,"max-attempts":3,"retry-after":true,"max-retry-after-us":1000000,
+	"limits":{"cancelling":true,"max-attempts":3,"retry-after":true,
 		"conn-idle-us":30000000,"connect-timeout-us":250000},
 	"obligations":{"fall-multiple":3,"fall-us":1500000,"start-capacity":0.16,"warm-after-us":14000000},
 	"family-info":{"shared-counter":false,"settles":true,"largest":6},
@@ -105,7 +105,7 @@
 
 // member is a line of the list for a stand-in.
 func member(i int, addr string) string {
-	return fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"norte","machineType":"std-2c","cell":1,
+	return fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"norte","cell":1,
 		"lifecycle":"ready","weight":1,"startedAtMs":0}`, i, addr)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,9 +26,7 @@
 	Clients struct {
 		MarksRetry bool `json:"marks-retry"`
 	} `json:"clients"`
-	Discovery string `json:"discovery"`
-	Info      struct {
-		CallPrice   float64 `json:"call-price"`
+	Info struct {
 		CountLimit  int64   `json:"count-limit-us"`
 		Largest     float64 `json:"largest"`
 		MeterPeriod int64   `json:"metering-us"`
@@ -36,17 +34,13 @@
 		Counter     bool    `json:"shared-counter"`
 	} `json:"family-info"`
 	Limits struct {
-		Cancelling    bool  `json:"cancelling"`
-		ConnIdle      int64 `json:"conn-idle-us"`
-		ConnectMost   int64 `json:"connect-timeout-us"`
-		MaxAttempts   int   `json:"max-attempts"`
-		MaxRetryAfter int64 `json:"max-retry-after-us"`
-		MayDuplicate  bool  `json:"may-duplicate"`
-		Probes        bool  `json:"probes"`
-		RetryAfter    bool  `json:"retry-after"`
+		Cancelling  bool  `json:"cancelling"`
+		ConnIdle    int64 `json:"conn-idle-us"`
+		ConnectMost int64 `json:"connect-timeout-us"`
+		MaxAttempts int   `json:"max-attempts"`
+		RetryAfter  bool  `json:"retry-after"`
 	} `json:"limits"`
-	Locality    int      `json:"locality"`
-	Kinds       []string `json:"machine-types"`
+	Locality    int `json:"locality"`
 	Obligations struct {
 		FallMultiple  float64 `json:"fall-multiple"`
 		Fall          int64   `json:"fall-us"`
@@ -81,8 +75,8 @@
 // Names is what the module does not need to know: how things are called on a wire,
 // and how its connections are kept.
 type Names struct {
-	Classes, Plans, Zones, Kinds []string
-	ConnIdle, ConnectMost        policy.Micros
+	Classes, Plans, Zones []string
+	ConnIdle, ConnectMost policy.Micros
 }
 
 // What holds where an operator's settings say nothing of connections.
@@ -97,7 +91,7 @@
 	if err := json.Unmarshal(text, &p); err != nil {
 		return policy.Settings{}, Names{}, fmt.Errorf("settings: %w", err)
 	}
-	names := Names{Zones: p.Areas, Kinds: p.Kinds, ConnIdle: p.Limits.ConnIdle, ConnectMost: p.Limits.ConnectMost}
+	names := Names{Zones: p.Areas, ConnIdle: p.Limits.ConnIdle, ConnectMost: p.Limits.ConnectMost}
 	if names.ConnIdle <= 0 {
 		names.ConnIdle = defaultIdle
 	}
@@ -106,16 +100,14 @@
 	}
 	s := policy.Settings{
 		Self: p.SelfIndex, Gateways: p.Siblings, Zone: p.Locality, Tick: p.Tick,
-		AskDiscovery: p.Discovery == "ask",
 		Weights:      p.Weights != "" && p.Weights != "off",
 		MaxAttempts:  p.Limits.MaxAttempts,
-		SecondCopies: p.Limits.MayDuplicate, Cancel: p.Limits.Cancelling,
+		Cancel:       p.Limits.Cancelling,
 		MarksRepeats: p.Clients.MarksRetry,
-		Probes:       p.Limits.Probes,
-		RetryAfter:   p.Limits.RetryAfter, MaxRetryAfter: p.Limits.MaxRetryAfter,
-		Counter: p.Info.Counter, CounterTimeout: p.Info.CountLimit,
-		CounterPrice: p.Info.CallPrice, MeterPeriod: p.Info.MeterPeriod,
-		Settles: p.Info.Settles, Largest: p.Info.Largest,
+		RetryAfter:   p.Limits.RetryAfter,
+		Counter:      p.Info.Counter, CounterTimeout: p.Info.CountLimit,
+		MeterPeriod: p.Info.MeterPeriod,
+		Settles:     p.Info.Settles, Largest: p.Info.Largest,
 		ColdShare: p.Obligations.StartCapacity, FallMultiple: p.Obligations.FallMultiple,
 		ColdFor: p.Obligations.WarmAfter, FallWindow: p.Obligations.Fall,
 		CrossZonePrice: p.Tariffs.CrossZone,
--- a/internal/trial/restart.go
+++ b/internal/trial/restart.go
@@ -37,7 +37,7 @@
 // simSettings is one gatekeeper before customers with a ceiling, one asking for 7.1 times
 // its quota and four for less than theirs.
 func simSettings() policy.Settings {
-	return policy.Settings{Gateways: 1, Tick: 4000, MaxAttempts: 2, Cancel: true, RetryAfter: true, MaxRetryAfter: 1e6, Largest: 3,
+	return policy.Settings{Gateways: 1, Tick: 4000, MaxAttempts: 2, Cancel: true, RetryAfter: true, Largest: 3,
 		Classes: []policy.Class{{Aim: 400e3, Deadline: 2e6, Worth: 1}},
 		Plans:   []policy.Plan{{Rate: 19, Burst: 28, Price: 1, OverCost: 1, CeilingRate: 35, CeilingBurst: 53, CeilingSlack: 6}}}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,17 +31,15 @@
 
 // Codes of the action records.
 const (
-	codeAssign    = 0
-	codeTurnAway  = 1
-	codeLose      = 2
-	codeCancel    = 3
-	codeNotify    = 4
-	codeAskLoad   = 5
-	codeDebug     = 8
-	codeDie       = 9
-	codeSubscribe = 10
-	codeTally     = 12
-	codeAt        = 13
+	codeAssign   = 0
+	codeTurnAway = 1
+	codeLose     = 2
+	codeCancel   = 3
+	codeNotify   = 4
+	codeDebug    = 8
+	codeDie      = 9
+	codeTally    = 12
+	codeAt       = 13
 )
 
 const (
@@ -198,7 +196,8 @@
 	r.Customer = d.U64()
 	r.Left = int64(d.U32())
 	r.Units = d.F32()
-	r.Spread, r.First = toInt(d.F32()), toInt(d.F32())
+	r.Spread = toInt(d.F32())
+	d.F32() // the number of the first of them
 	r.Again = d.U8()&bitAgain != 0
 	return r
 }
@@ -227,20 +226,20 @@
 	return o
 }
 
-// ProbeDone reads a PROBE_DONE record.
-func (d *Batch) ProbeDone() (s policy.Server, delay policy.Micros, st policy.Status, load []float32) {
-	s, delay = d.Server(), int64(d.U32())
-	st = policy.Status(d.U16())
-	return s, delay, st, d.load()
+// ProbeDone reads past a PROBE_DONE record.
+func (d *Batch) ProbeDone() {
+	d.Server()
+	d.U32()
+	d.U16()
+	d.load()
 }
 
-// Streaming reads a STREAMING record.
-func (d *Batch) Streaming() (id uint32, attempt int) {
-	id = d.U32()
+// Streaming reads past a STREAMING record.
+func (d *Batch) Streaming() {
+	d.U32()
 	d.U32()
-	attempt = int(d.U8())
+	d.U8()
 	d.Server()
-	return id, attempt
 }
 
 // Sync reads a SYNC record.
@@ -257,7 +256,8 @@
 		e := &es[i]
 		e.Weight = d.F32()
 		e.Zone, e.Cell = int(d.U8()), int(d.U16())
-		e.State, e.Kind = policy.State(d.U8()), int(d.U8())
+		e.State = policy.State(d.U8())
+		d.U8() // its kind of machine
 		e.ReadyAt = int64(d.U64())
 		e.Server = d.Server()
 	}
@@ -348,12 +348,6 @@
 	w.span(after)
 }
 
-// Probe writes ASK_LOAD.
-func (w *Reply) Probe(s policy.Server) {
-	w.code(codeAskLoad)
-	w.server(s)
-}
-
 // Count writes TALLY.
 func (w *Reply) Count(name uint64, amount float64, ttl policy.Micros) {
 	w.code(codeTally)
@@ -362,12 +356,6 @@
 	w.span(ttl)
 }
 
-// Watch writes SUBSCRIBE.
-func (w *Reply) Watch() {
-	w.code(codeSubscribe)
-	w.b = append(w.b, 1)
-}
-
 // Log writes DEBUG.
 func (w *Reply) Log(t string) { w.text(codeDebug, []byte(t)) }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -44,7 +44,7 @@
 	if b.U8() != CodeOn || b.U16() != 3 || b.U8() != CodeReq {
 		t.Fatal("the first records are ON 3 and REQ")
 	}
-	want := policy.Request{ID: 0x5d3a91c4, Customer: 0x91f03b7c55d20a64, Left: 240000, Units: 2, Spread: 3, First: 1}
+	want := policy.Request{ID: 0x5d3a91c4, Customer: 0x91f03b7c55d20a64, Left: 240000, Units: 2, Spread: 3}
 	if r := b.Request(); r != want {
 		t.Fatalf("read %+v, want %+v", r, want)
 	}
@@ -109,9 +109,7 @@
 		{func(w *Reply) { w.Refuse(0x0e6f2b19, 250000) }, "01 0e6f2b19 0003d090"},
 		{func(w *Reply) { w.Fail(0x0e6f2b19) }, "02 0e6f2b19"},
 		{func(w *Reply) { w.Cancel(0x5d3a91c4, 0) }, "03 5d3a91c4 00"},
-		{func(w *Reply) { w.Probe(0x0a9011f22bec) }, "05 0a9011f2 2bec"},
 		{func(w *Reply) { w.Count(0x89f690, 4, 3000000) }, "0c 000000000089f690 40800000 002dc6c0"},
-		{func(w *Reply) { w.Watch() }, "0a 01"},
 		{func(w *Reply) { w.Die("index out of range") }, "09 0012 696e646578206f7574206f662072616e6765"},
 	} {
 		var w Reply
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -18,10 +18,8 @@
 func (printer) Fail(id uint32)                       { fmt.Println("fail", id) }
 func (printer) Cancel(uint32, int)                   {}
 func (printer) Timer(uint64, policy.Micros)          {}
-func (printer) Probe(policy.Server)                  {}
 func (printer) Count(uint64, float64, policy.Micros) {}
 func (printer) Tell(int, []byte)                     {}
-func (printer) Watch()                               {}
 
 func Example() {
 	settings := policy.Settings{
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -98,7 +98,6 @@
 const (
 	tokenTick = iota
 	tokenGiveUp
-	tokenWatch
 )
 
 // New makes a gateway from its settings. The seed makes its choices its own.
@@ -150,9 +149,6 @@
 	g.enter(now, do)
 	g.born, g.lastRate, g.pubAt, g.wheelAt = now, now, now, now/step
 	do.Timer(tokenTick<<32, step)
-	if g.set.AskDiscovery {
-		do.Watch()
-	}
 }
 
 // ---- policing ----
@@ -648,11 +644,64 @@
 			return
 		}
 		g.end(q, g.waitOf(q.level))
-	case tokenWatch:
-		do.Watch()
 	}
 }
 
+// SetClasses replaces the table of classes while requests are under way. They keep
+// the terms they came with, and held ones the place that those give them. A class
+// that stays as it is in its place keeps what was learned of it.
+func (g *Gateway) SetClasses(now Micros, do Host, classes []Class) {
+	g.enter(now, do)
+	old, held := g.classes, g.queue
+	g.classes = nil
+	for i, c := range classes {
+		st := classState{Class: c, lat: float64(c.Aim) / 4}
+		if i < len(old) && old[i].Class == c {
+			st = old[i]
+		}
+		g.classes = append(g.classes, st)
+	}
+	for _, q := range g.reqs {
+		for i := range min(len(old), len(g.classes)) {
+			if q.class == &old[i] && old[i].Class == g.classes[i].Class {
+				q.class = &g.classes[i]
+				break
+			}
+		}
+	}
+	g.rankLevels()
+	for _, level := range held {
+		for _, q := range level {
+			q.level = g.levelOf(q)
+			g.queue[q.level] = append(g.queue[q.level], q)
+		}
+	}
+	g.dispatch()
+}
+
+// levelOf is the first level that ranks no higher than a request's own terms.
+func (g *Gateway) levelOf(q *request) int {
+	level := len(g.queue) - 1
+	for i := range g.classes {
+		for j := range g.plans {
+			if g.classes[i].Worth*g.plans[j].Price <= q.class.Worth*q.plan.Price {
+				level = min(level, g.levels[i][j])
+			}
+		}
+	}
+	return level
+}
+
+func (g *Gateway) hold(q *request) {
+	q.held = true
+	g.queued++
+	at := len(g.queue[q.level])
+	if q.sent { // what was sent before goes first in its rank
+		at = 0
+	}
+	g.queue[q.level] = slices.Insert(g.queue[q.level], at, q)
+}
+
 // ---- the bound ----
 
 func (g *Gateway) judge(a *attempt, o Outcome) {
@@ -799,7 +848,7 @@
 		if s.e.State != Ready || !s.listed || g.now < s.fullUntil {
 			continue
 		}
-		if s.ejected && (g.now < s.retryAt || q.class.Repeat == Unsafe || g.set.Probes) {
+		if s.ejected && (g.now < s.retryAt || q.class.Repeat == Unsafe) {
 			continue
 		}
 		if q.uncertain && q.class.Repeat == Keyed && !sameGroup(q.class.Group, q.ranOn, s) {
@@ -856,8 +905,6 @@
 	g.enter(now, do)
 	if kind != ListFailed {
 		g.mergeList(kind, entries)
-	} else if g.set.AskDiscovery {
-		do.Timer(tokenWatch<<32, second)
 	}
 	for _, s := range g.servers { // rendezvous hashing: each gateway has an order of its own
 		h := mix(uint64(s.id), uint64(g.set.Self)+1)
@@ -870,17 +917,72 @@
 	g.dispatch()
 }
 
-// Probed brings the answer to a probe of a server that was shut off.
-func (g *Gateway) Probed(now Micros, do Host, id Server, _ Micros, st Status, _ []float32) {
-	g.enter(now, do)
-	if s := g.byID[id]; s != nil && s.trial {
-		if s.trial = false; st == OK {
-			s.ejected, s.fails = false, failsToEject-1
-			g.dispatch()
-		} else {
-			g.eject(s)
+// mergeList brings the list up to date and drops what is neither listed nor in use.
+func (g *Gateway) mergeList(kind ListKind, entries []Entry) {
+	if kind != Delta {
+		for _, s := range g.servers {
+			s.listed = false
+		}
+	}
+	for _, e := range entries {
+		s := g.byID[e.Server]
+		if s == nil {
+			s = &server{id: e.Server, rel: 1}
+			g.byID[e.Server] = s
+			g.servers = append(g.servers, s)
+		}
+		if e.ReadyAt != s.e.ReadyAt { // a new life
+			s.rel, s.fails, s.ejected, s.ejectedFor, s.trial = 1, 0, false, 0, false
+		}
+		s.e, s.listed = e, e.State != Gone
+	}
+	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
+		unused := !s.listed && s.open == 0
+		if unused {
+			delete(g.byID, s.id)
+		}
+		return unused
+	})
+}
+
+// Standings tells what the module thinks of its servers, and how many attempts it
+// would have out at once. It changes nothing.
+func (g *Gateway) Standings(now Micros) (list []Standing, bound float64) {
+	g.now = now
+	for _, s := range g.servers {
+		if !s.listed {
+			continue
+		}
+		part := 1 / (g.relOf(s) * g.dear(s))
+		if g.cold(s) {
+			part *= g.warmth(s)
 		}
+		shut := s.ejected && now < s.retryAt || now < s.fullUntil
+		list = append(list, Standing{Server: s.id, State: s.e.State, Shut: shut, Part: part, Zone: s.e.Zone})
+	}
+	slices.SortFunc(list, func(a, b Standing) int { return cmp.Compare(a.Server, b.Server) })
+	return list, g.bound
+}
+
+// cold tells whether a server has just started.
+func (g *Gateway) cold(s *server) bool {
+	return s.e.ReadyAt > 0 && g.now-s.e.ReadyAt < g.set.ColdFor
+}
+
+// warmth is the part of its capacity that a cold server has at least.
+func (g *Gateway) warmth(s *server) float64 {
+	age := float64(g.now-s.e.ReadyAt) / float64(max(g.set.ColdFor, 1))
+	return g.set.ColdShare + (1-g.set.ColdShare)*min(max(age, 0), 1)
+}
+
+func sameGroup(gr Group, a, b *server) bool {
+	switch gr {
+	case GroupZone:
+		return a.e.Zone == b.e.Zone
+	case GroupCell:
+		return a.e.Zone == b.e.Zone && a.e.Cell == b.e.Cell
 	}
+	return true
 }
 
 // ---- housekeeping ----
@@ -898,11 +1000,5 @@
 		g.dones, g.sends, g.lastRate = 0, 0, g.now
 	}
 	g.watch()
-	for _, s := range g.servers {
-		if s.ejected && !s.trial && g.set.Probes && s.listed && s.e.State == Ready && g.now >= s.retryAt {
-			s.trial = true
-			g.do.Probe(s.id)
-		}
-	}
 	g.dispatch()
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,14 +4,12 @@
 
 // recorder is a host that writes down what it is told.
 type recorder struct {
-	sent     []sentTo
-	refused  map[uint32]Micros
-	failed   map[uint32]bool
-	cancels  []uint32
-	timers   []uint64
-	probes   []Server
-	counts   []counted
-	watching int
+	sent    []sentTo
+	refused map[uint32]Micros
+	failed  map[uint32]bool
+	cancels []uint32
+	timers  []uint64
+	counts  []counted
 }
 
 type sentTo struct {
@@ -36,8 +34,6 @@
 func (r *recorder) Fail(id uint32)                   { r.failed[id] = true }
 func (r *recorder) Cancel(id uint32, attempt int)    { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(token uint64, after Micros) { r.timers = append(r.timers, token) }
-func (r *recorder) Probe(s Server)                   { r.probes = append(r.probes, s) }
-func (r *recorder) Watch()                           { r.watching++ }
 func (r *recorder) Count(name uint64, a float64, _ Micros) {
 	r.counts = append(r.counts, counted{name, a})
 }
@@ -487,7 +483,7 @@
 	f.Add([]byte("requests, outcomes, lists and timers in any order"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := settings()
-		s.Counter, s.Probes, s.SecondCopies = true, true, true
+		s.Counter = true
 		g, r := New(s, 3), newRecorder()
 		at := Micros(1e6)
 		g.Start(at, r)
@@ -501,7 +497,7 @@
 		}
 		for len(data) > 0 {
 			at += Micros(take()) * 1e3
-			switch take() % 8 {
+			switch take() % 7 {
 			case 0:
 				g.Request(at, r, Request{ID: uint32(take()), Class: take()%5 - 1, Plan: take()%5 - 1,
 					Customer: uint64(take() % 4), Left: Micros(take()) * 1e4, Units: float64(take() % 7), Spread: take() % 4})
@@ -518,8 +514,6 @@
 			case 5:
 				g.ClientGone(at, r, uint32(take()))
 			case 6:
-				g.Probed(at, r, Server(take()%6), 0, Status(take()%8), nil)
-			case 7:
 				for _, x := range r.counts {
 					g.Counted(at, r, x.name, 0, Status(take()%8), float64(take()))
 				}
--- a/policy/recover_test.go
+++ b/policy/recover_test.go
@@ -14,9 +14,7 @@
 func (h *quietHost) Fail(uint32)                   {}
 func (h *quietHost) Cancel(uint32, int)            {}
 func (h *quietHost) Timer(uint64, Micros)          {}
-func (h *quietHost) Probe(Server)                  {}
 func (h *quietHost) Count(uint64, float64, Micros) {}
-func (h *quietHost) Watch()                        {}
 
 // ceilinged is a plan whose ceiling, not its quota, is what binds.
 func ceilinged() Settings {
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -308,7 +308,7 @@
 	f := newFleet(t, s, 300, 5)
 	for k := range 50 {
 		f.try(k, k%2, 5, 2e6)
-		f.gws[k].Request(f.at, f.recs[k], Request{ID: 1e6, Customer: 1, Left: 1e6, Units: 1, Spread: 1 << 19, First: -3})
+		f.gws[k].Request(f.at, f.recs[k], Request{ID: 1e6, Customer: 1, Left: 1e6, Units: 1, Spread: 1 << 19})
 		f.pass(1e3)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,12 +1,7 @@
 package policy
 
-import (
-	"cmp"
-	"slices"
-)
-
 // The records a gateway keeps and the plumbing around them. Nothing is decided
-// here; the decisions are in policy.go.
+// here.
 
 type request struct {
 	id          uint32
@@ -58,7 +53,7 @@
 	ejected    bool
 	ejectedFor Micros
 	retryAt    Micros
-	trial      bool // a probe or trial is out
+	trial      bool // a trial is out
 	lost       bool // shut off as silent, and not heard of since
 	fullUntil  Micros
 	coldSends  []Micros
@@ -223,16 +218,6 @@
 	}
 }
 
-func (g *Gateway) hold(q *request) {
-	q.held = true
-	g.queued++
-	at := len(g.queue[q.level])
-	if q.sent { // what was sent before goes first in its rank
-		at = 0
-	}
-	g.queue[q.level] = slices.Insert(g.queue[q.level], at, q)
-}
-
 func (g *Gateway) closeAttempt(a *attempt) {
 	s := a.srv
 	if a.prev != nil {
@@ -253,16 +238,6 @@
 	g.inFlight--
 }
 
-func sameGroup(gr Group, a, b *server) bool {
-	switch gr {
-	case GroupZone:
-		return a.e.Zone == b.e.Zone
-	case GroupCell:
-		return a.e.Zone == b.e.Zone && a.e.Cell == b.e.Cell
-	}
-	return true
-}
-
 func (g *Gateway) cancelAll(q *request) {
 	for i := range q.attempts {
 		if q.attempts[i].open && g.set.Cancel {
@@ -271,24 +246,6 @@
 	}
 }
 
-// silence is how long a server with work of ours has answered nothing.
-func (g *Gateway) silence(s *server) float64 {
-	if s.head == nil {
-		return 0
-	}
-	return float64(g.now - max(s.answered, s.head.sent))
-}
-
-// typical is the fleet's latency over all classes.
-func (g *Gateway) typical() float64 {
-	sum, n := 0.0, 0.0
-	for i := range g.classes {
-		sum += g.classes[i].lat * float64(g.classes[i].n+1)
-		n += float64(g.classes[i].n + 1)
-	}
-	return max(sum/max(n, 1), 1)
-}
-
 // openAttempt adds an attempt to its request's and its server's lists.
 func (g *Gateway) openAttempt(q *request, s *server, load float64) {
 	a := &attempt{req: q, srv: s, n: len(q.attempts), sent: g.now, open: true, load: load}
@@ -324,182 +281,31 @@
 	}
 }
 
-// Streaming tells that an answer has begun. Its attempt is never taken back, so
-// there is nothing to do.
-func (g *Gateway) Streaming(now Micros, do Host, id uint32, n int) {
-	g.enter(now, do)
-}
-
-func waitFor(units, rate float64) Micros {
-	if rate <= 0 {
-		return second
-	}
-	return Micros(min(units/rate*1e6, 3600e6)) + milli
-}
-
-// giveBack returns what a request took that was never sent.
-func (g *Gateway) giveBack(q *request) {
-	if q.sent {
-		return
-	}
-	q.cust.tokens += q.tokensTaken
-	q.cust.level += q.tokensTaken
-	if q.admitted {
-		q.cust.pending -= q.units
-	}
-	if q.admitted && q.plan.CeilingRate > 0 {
-		q.cust.guard += q.units
-	}
-	q.tokensTaken, q.admitted = 0, false
-}
-
-// mergeList brings the list up to date and drops what is neither listed nor in use.
-func (g *Gateway) mergeList(kind ListKind, entries []Entry) {
-	if kind != Delta {
-		for _, s := range g.servers {
-			s.listed = false
-		}
-	}
-	for _, e := range entries {
-		s := g.byID[e.Server]
-		if s == nil {
-			s = &server{id: e.Server, rel: 1}
-			g.byID[e.Server] = s
-			g.servers = append(g.servers, s)
-		}
-		if e.ReadyAt != s.e.ReadyAt { // a new life
-			s.rel, s.fails, s.ejected, s.ejectedFor, s.trial = 1, 0, false, 0, false
-		}
-		s.e, s.listed = e, e.State != Gone
-	}
-	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
-		unused := !s.listed && s.open == 0
-		if unused {
-			delete(g.byID, s.id)
-		}
-		return unused
-	})
-}
-
-// Standings tells what the module thinks of its servers, and how many attempts it
-// would have out at once. It changes nothing.
-func (g *Gateway) Standings(now Micros) (list []Standing, bound float64) {
-	g.now = now
-	for _, s := range g.servers {
-		if !s.listed {
-			continue
-		}
-		part := 1 / (g.relOf(s) * g.dear(s))
-		if g.cold(s) {
-			part *= g.warmth(s)
-		}
-		shut := s.ejected && now < s.retryAt || now < s.fullUntil
-		list = append(list, Standing{Server: s.id, State: s.e.State, Shut: shut, Part: part, Zone: s.e.Zone})
-	}
-	slices.SortFunc(list, func(a, b Standing) int { return cmp.Compare(a.Server, b.Server) })
-	return list, g.bound
+func (g *Gateway) enter(now Micros, do Host) {
+	g.now, g.do = now, do
 }
 
-// SetClasses replaces the table of classes while requests are under way. They keep
-// the terms they came with, and held ones the place that those give them. A class
-// that stays as it is in its place keeps what was learned of it.
-func (g *Gateway) SetClasses(now Micros, do Host, classes []Class) {
-	g.enter(now, do)
-	old, held := g.classes, g.queue
-	g.classes = nil
-	for i, c := range classes {
-		st := classState{Class: c, lat: float64(c.Aim) / 4}
-		if i < len(old) && old[i].Class == c {
-			st = old[i]
-		}
-		g.classes = append(g.classes, st)
-	}
-	for _, q := range g.reqs {
-		for i := range min(len(old), len(g.classes)) {
-			if q.class == &old[i] && old[i].Class == g.classes[i].Class {
-				q.class = &g.classes[i]
-				break
-			}
-		}
-	}
-	g.rankLevels()
-	for _, level := range held {
-		for _, q := range level {
-			q.level = g.levelOf(q)
-			g.queue[q.level] = append(g.queue[q.level], q)
-		}
+// silence is how long a server with work of ours has answered nothing.
+func (g *Gateway) silence(s *server) float64 {
+	if s.head == nil {
+		return 0
 	}
-	g.dispatch()
+	return float64(g.now - max(s.answered, s.head.sent))
 }
 
-// levelOf is the first level that ranks no higher than a request's own terms.
-func (g *Gateway) levelOf(q *request) int {
-	level := len(g.queue) - 1
+// typical is the fleet's latency over all classes.
+func (g *Gateway) typical() float64 {
+	sum, n := 0.0, 0.0
 	for i := range g.classes {
-		for j := range g.plans {
-			if g.classes[i].Worth*g.plans[j].Price <= q.class.Worth*q.plan.Price {
-				level = min(level, g.levels[i][j])
-			}
-		}
+		sum += g.classes[i].lat * float64(g.classes[i].n+1)
+		n += float64(g.classes[i].n + 1)
 	}
-	return level
-}
-
-func (g *Gateway) enter(now Micros, do Host) {
-	g.now, g.do = now, do
-}
-
-// keepFor is how long an idle customer is remembered: until its stores are surely
-// full, as one met anew starts with what has filled since our birth (rule 5).
-func (c *customer) keepFor() Micros {
-	p := c.plan
-	return max(idleAge, waitFor(p.Burst*c.spread, p.Rate), waitFor(p.CeilingBurst, p.CeilingRate))
-}
-
-// turn visits the customers whose second ends now.
-func (g *Gateway) turn(slot int) {
-	g.wheel[slot] = slices.DeleteFunc(g.wheel[slot], func(c *customer) bool {
-		g.tellUse(c)
-		idle := g.now-c.touched > c.keepFor() && c.open == 0 && c.pending <= 0
-		if idle {
-			delete(g.customers, c.key)
-		}
-		return idle
-	})
+	return max(sum/max(n, 1), 1)
 }
 
-// customer is the record of a request's customer, made where there is none.
-func (g *Gateway) customer(r Request) *customer {
-	c := g.customers[r.Customer]
-	if c == nil {
-		spread := min(max(r.Spread, 1), max(g.set.Gateways, 1))
-		c = &customer{key: r.Customer, plan: &g.plans[r.Plan], spread: float64(spread), at: g.now}
-		c.seenPub = g.pubAt
-		c.share = 1 / c.spread
-		c.tokens = g.store(c)
-		c.level, c.levelAt, c.accAt = c.plan.Burst, g.now, g.now
-		p := c.plan
-		if p.CeilingRate > 0 {
-			// A gateway just born does not know what it spent in an earlier life:
-			// its part of the ceiling fills from nothing since then.
-			sinceBirth := float64(g.now-g.born) / 1e6
-			c.guard = min(p.CeilingBurst, p.CeilingRate*sinceBirth) / c.spread
-		}
-		g.customers[r.Customer] = c
-		i := c.key * 0x9e3779b97f4a7c15 >> 32 % uint64(len(g.wheel))
-		g.wheel[i] = append(g.wheel[i], c)
+func waitFor(units, rate float64) Micros {
+	if rate <= 0 {
+		return second
 	}
-	c.touched = g.now
-	return c
-}
-
-// cold tells whether a server has just started.
-func (g *Gateway) cold(s *server) bool {
-	return s.e.ReadyAt > 0 && g.now-s.e.ReadyAt < g.set.ColdFor
-}
-
-// warmth is the part of its capacity that a cold server has at least.
-func (g *Gateway) warmth(s *server) float64 {
-	age := float64(g.now-s.e.ReadyAt) / float64(max(g.set.ColdFor, 1))
-	return g.set.ColdShare + (1-g.set.ColdShare)*min(max(age, 0), 1)
+	return Micros(min(units/rate*1e6, 3600e6)) + milli
 }
--- a/policy/store.go
+++ b/policy/store.go
@@ -1,9 +1,10 @@
 package policy
 
-// What a gateway knows of the stores that all gateways share through the counter. A
-// number on it stands for a customer and a window of time; every gateway adds its
-// use, and the total tells each what the others have used. What follows from that is
-// decided in policy.go.
+import "slices"
+
+// Customers' stores: ours, and what a gateway knows of those that all gateways share
+// through the counter. A number on it stands for a customer and a window of time; every
+// gateway adds its use, and the total tells each what the others have used.
 
 // shared tells whether a customer's store is kept on the counter, for all gateways.
 func (g *Gateway) shared(c *customer) bool {
@@ -152,3 +153,63 @@
 		c.guard = min(c.guard+p.CeilingRate/c.spread*dt, p.CeilingBurst/c.spread-c.pending)
 	}
 }
+
+// customer is the record of a request's customer, made where there is none.
+func (g *Gateway) customer(r Request) *customer {
+	c := g.customers[r.Customer]
+	if c == nil {
+		spread := min(max(r.Spread, 1), max(g.set.Gateways, 1))
+		c = &customer{key: r.Customer, plan: &g.plans[r.Plan], spread: float64(spread), at: g.now}
+		c.seenPub = g.pubAt
+		c.share = 1 / c.spread
+		c.tokens = g.store(c)
+		c.level, c.levelAt, c.accAt = c.plan.Burst, g.now, g.now
+		p := c.plan
+		if p.CeilingRate > 0 {
+			// A gateway just born does not know what it spent in an earlier life:
+			// its part of the ceiling fills from nothing since then.
+			sinceBirth := float64(g.now-g.born) / 1e6
+			c.guard = min(p.CeilingBurst, p.CeilingRate*sinceBirth) / c.spread
+		}
+		g.customers[r.Customer] = c
+		i := c.key * 0x9e3779b97f4a7c15 >> 32 % uint64(len(g.wheel))
+		g.wheel[i] = append(g.wheel[i], c)
+	}
+	c.touched = g.now
+	return c
+}
+
+// keepFor is how long an idle customer is remembered: until its stores are surely
+// full, as one met anew starts with what has filled since our birth (rule 5).
+func (c *customer) keepFor() Micros {
+	p := c.plan
+	return max(idleAge, waitFor(p.Burst*c.spread, p.Rate), waitFor(p.CeilingBurst, p.CeilingRate))
+}
+
+// turn visits the customers whose second ends now.
+func (g *Gateway) turn(slot int) {
+	g.wheel[slot] = slices.DeleteFunc(g.wheel[slot], func(c *customer) bool {
+		g.tellUse(c)
+		idle := g.now-c.touched > c.keepFor() && c.open == 0 && c.pending <= 0
+		if idle {
+			delete(g.customers, c.key)
+		}
+		return idle
+	})
+}
+
+// giveBack returns what a request took that was never sent.
+func (g *Gateway) giveBack(q *request) {
+	if q.sent {
+		return
+	}
+	q.cust.tokens += q.tokensTaken
+	q.cust.level += q.tokensTaken
+	if q.admitted {
+		q.cust.pending -= q.units
+	}
+	if q.admitted && q.plan.CeilingRate > 0 {
+		q.cust.guard += q.units
+	}
+	q.tokensTaken, q.admitted = 0, false
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -56,19 +56,16 @@
 	Plans                []Plan
 	Tick                 Micros
 
-	AskDiscovery bool     // the list must be subscribed to
-	Weights      bool     // the list's weights say something of size
-	InlineLoad   []string // values of load reports that come with answers
+	Weights    bool     // the list's weights say something of size
+	InlineLoad []string // values of load reports that come with answers
 
-	MaxAttempts          int
-	SecondCopies, Cancel bool
-	MarksRepeats         bool // clients tell their repeats as such
-	Probes, RetryAfter   bool
-	MaxRetryAfter        Micros
+	MaxAttempts  int
+	Cancel       bool
+	MarksRepeats bool // clients tell their repeats as such
+	RetryAfter   bool
 
 	Counter        bool
 	CounterTimeout Micros
-	CounterPrice   float64
 	MeterPeriod    Micros
 	Settles        bool
 	Largest        float64
@@ -86,7 +83,6 @@
 	Left        Micros
 	Units       float64
 	Spread      int  // through how many gateways the customer comes
-	First       int  // the number of the first of them
 	Again       bool // marked as a client's repeat
 }
 
@@ -134,7 +130,6 @@
 	State      State
 	Weight     float64
 	Zone, Cell int
-	Kind       int
 	ReadyAt    Micros // latest start, 0 for long ago
 }
 
@@ -171,10 +166,6 @@
 	Cancel(id uint32, attempt int)
 	// Timer asks for one Gateway.Timer call with the token.
 	Timer(token uint64, after Micros)
-	// Probe asks a server for a sign of life.
-	Probe(s Server)
 	// Count adds to a shared number; Gateway.Counted brings the total.
 	Count(name uint64, amount float64, ttl Micros)
-	// Watch subscribes to the server list.
-	Watch()
 }
