Say when to come back in every refusal, also the one after the last attempt

Seen: an ordering of five plain requests whose time runs out ended in a refusal without Retry-After; so does one after three errors. Lines at fault: Outcome's last case ended a request with a wait of 0, which is no advice.

It names the fleet's latency now. Ruled out: the other refusals (quota, ceiling, counter, room), each of which names a wait already.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -601,7 +601,7 @@
 		g.hold(q)
 		do.Timer(tokenGiveUp<<32|uint64(q.id), max(q.deadline-2*max(g.set.Tick, milli)-now, 0))
 	default:
-		g.end(q, 0)
+		g.end(q, Micros(g.typical()))
 	}
 	g.dispatch()
 }
