Send nothing that is too late: held past its aim, or a repeat of what failed past it

Seen: a request whose attempt broke after its aim went out again, and so did what a stalled loop found held behind it, up to four ticks before the client's end. An answer past the aim is worth nothing, and its work takes the place of what is not late. Lines at fault: dispatch asked only for the window of keyed repeats, Outcome held repeats until the deadline, the timer of a held repeat was set for the deadline.

mayRetry asks for the aim as well now, the timer rings when it can't be met any more, and the end is told at once. Classes whose late answers keep half of their worth go on as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -325,7 +325,7 @@
 		halfway: now + r.Left/2 - 2*max(g.set.Tick, milli)}
 	g.reqs[r.ID] = q
 	q.arrived -= g.waited(q.class, r.Left, r.Again)
-	if now > g.giveUp(q) && q.class.LateWorth < lateLeast {
+	if g.late(q) {
 		g.refuse(q, second)
 		return
 	}
@@ -526,8 +526,8 @@
 				g.refuse(q, Micros(g.typical()))
 				continue
 			}
-			if q.uncertain && !g.mayRetry(q) { // its window may have closed while it was held
-				g.end(q, 0)
+			if !g.mayRetry(q) { // its window or its time may have passed while it was held
+				g.end(q, g.waitOf(q.level))
 				continue
 			}
 			s := g.pick(q)
@@ -599,16 +599,22 @@
 	case q.open > 0: // another copy is out
 	case g.mayRetry(q):
 		g.hold(q)
-		do.Timer(tokenGiveUp<<32|uint64(q.id), max(q.deadline-2*max(g.set.Tick, milli)-now, 0))
+		do.Timer(tokenGiveUp<<32|uint64(q.id), max(g.giveUp(q)-now, 0))
 	default:
 		g.end(q, Micros(g.typical()))
 	}
 	g.dispatch()
 }
 
-// mayRetry guards rule 2: what may have run goes out again only as its class allows.
+// late tells that an answer would come past the aim, and that little worth is left then.
+func (g *Gateway) late(q *request) bool {
+	return g.now >= g.giveUp(q) && q.class.LateWorth < lateLeast
+}
+
+// mayRetry guards rule 2: what may have run goes out again only as its class allows. And
+// it guards workers against what is too late: it would take the place of what is not.
 func (g *Gateway) mayRetry(q *request) bool {
-	if len(q.attempts) >= max(g.set.MaxAttempts, 1) || q.deadline-g.now < 4*max(g.set.Tick, milli) {
+	if len(q.attempts) >= max(g.set.MaxAttempts, 1) || q.deadline-g.now < 4*max(g.set.Tick, milli) || g.late(q) {
 		return false
 	}
 	if !q.uncertain || q.class.Repeat == Safe {
@@ -640,7 +646,8 @@
 		if q == nil || q.done || !q.held && !q.drawing {
 			return
 		}
-		if q.sent && q.deadline-now > 3*max(g.set.Tick, milli) {
+		if q.sent && !g.late(q) && q.deadline-now > 3*max(g.set.Tick, milli) {
+			do.Timer(token, max(g.giveUp(q)-now, step))
 			return
 		}
 		g.end(q, g.waitOf(q.level))
@@ -804,7 +811,7 @@
 			continue
 		}
 		for a := s.head; a != nil && g.set.Cancel && s.lost; a = a.next { // it was a trial
-			if q := a.req; !q.done && g.mayRetry(q) && g.now < g.giveUp(q) {
+			if q := a.req; !q.done && g.mayRetry(q) {
 				g.do.Cancel(q.id, a.n)
 			}
 		}
