Let a replay test want its checkpoints by the module's time, not the disk's

Seen: TestAReplayBeginsAtAnySegment failed 5 times in 40 on the untouched program. It counted on a checkpoint soon after each new segment; segments begin on the writer's goroutine, and the loop can be through before that has come round. The writer is as it was: a checkpoint that comes late is no gap.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -353,7 +353,7 @@
 // is played from the first checkpoint that is left.
 func TestAReplayBeginsAtAnySegment(t *testing.T) {
 	folder := t.TempDir()
-	w, err := capture.NewWriter(capture.Options{Patient: true, Folder: folder, Name: "n0", Life: 1, SegmentMost: 1})
+	w, err := capture.NewWriter(capture.Options{Patient: true, Folder: folder, Name: "n0", Life: 1, SegmentMost: 1, CheckpointEvery: time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
