Find workers back within seconds after all were gone, cold or shut off

Lines at fault: coldRoom took what warm workers bear from the sends of the moment, which are none where all are cold, so none ever came (for 14 s); pick counted cold workers without room among those it uses; eject doubled the time of each worker up to 8 s though nothing else was left to send to; the bound stayed at what the first list gave it when the fleet grew.

What workers bore is remembered now (half of it after 30 s), and each is taken to do one request at a time at the least; where all are shut off each is tried again after half a second; the bound is at least the least for the fleet. Ruled out: a larger share of the budget, which burst the queues of the cold workers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -89,6 +89,7 @@
 	trialCost    = 100.0 // times as dear is a server while a trial of it is out
 	fullPause    = 50 * milli
 	coldSafety   = 0.5 // of our part of a cold server's budget is used
+	warmForget   = 30 * second // what servers were seen to bear counts half after this
 	zoneFactor   = 10  // cost of a far server grows by this times the price of crossing
 
 	step = 10 * milli // pace of the housekeeping tick
@@ -820,23 +821,30 @@
 	}
 }
 
+// eject shuts a server off, longer each time; but where all are shut off the trouble is
+// not this one's, and to find them back must not take long.
 func (g *Gateway) eject(s *server) {
 	if s.ejected && g.now < s.retryAt {
 		return
 	}
 	s.ejectedFor = min(max(2*s.ejectedFor, ejectFirst), ejectMost)
+	if !slices.ContainsFunc(g.servers, func(o *server) bool { return o != s && o.listed && !o.ejected }) {
+		s.ejectedFor = ejectFirst
+	}
 	s.ejected, s.trial = true, false
 	s.retryAt = g.now + s.ejectedFor
 }
 
 // coldRoom guards rule 4: our sends to a cold server in any window stay under our
-// part of its budget, judged by what warm servers bear.
+// part of its budget, judged by what warm servers bear. Where none is warm what they bore
+// before counts, and at the least that each does one request at a time: else a fleet that
+// is all cold would get nothing, and so would never be seen to bear anything.
 func (g *Gateway) coldRoom(s *server) bool {
 	for len(s.coldSends) > 0 && g.now-s.coldSends[0] > g.set.FallWindow {
 		s.coldSends = s.coldSends[1:]
 	}
-	warmLoad := g.sendRate / float64(max(g.subset(), 1)) * float64(g.set.FallWindow) / 1e6
-	allow := coldSafety * g.set.FallMultiple * g.warmth(s) * warmLoad
+	bears := max(g.warmLoad, g.sendRate/float64(max(g.subset(), 1)), 1e6/g.typical()/float64(max(g.set.Gateways, 1)))
+	allow := coldSafety * g.set.FallMultiple * g.warmth(s) * bears * float64(g.set.FallWindow) / 1e6
 	return float64(len(s.coldSends)) < g.byTurns(allow, max(g.set.FallWindow, step), mix(uint64(s.id), 0))
 }
 
@@ -861,15 +869,14 @@
 		if q.uncertain && q.class.Repeat == Keyed && !sameGroup(q.class.Group, q.ranOn, s) {
 			continue
 		}
-		k--
 		cost := g.cost(s)
 		if g.cold(s) {
 			if !g.coldRoom(s) {
 				continue
 			}
-			w := g.warmth(s)
-			cost /= w
+			cost /= g.warmth(s)
 		}
+		k--
 		if s.trial { // one that has not proved itself is the last choice
 			cost *= trialCost
 		}
@@ -921,6 +928,7 @@
 	if !g.boundSet && len(g.servers) > 0 {
 		g.boundSet, g.bound = true, g.perServer(startPerServer)
 	}
+	g.bound = max(g.bound, g.perServer(leastPerServer)) // of a fleet that has grown
 	g.dispatch()
 }
 
@@ -1005,6 +1013,7 @@
 		g.doneRate += (float64(g.dones)/secs - g.doneRate) * 0.3
 		g.sendRate += (float64(g.sends)/secs - g.sendRate) * 0.2
 		g.dones, g.sends, g.lastRate = 0, 0, g.now
+		g.warmLoad = max(g.sendRate/float64(max(g.subset(), 1)), g.warmLoad*math.Exp2(-float64(dt)/float64(warmForget)))
 	}
 	g.watch()
 	g.dispatch()
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -13,7 +13,7 @@
 
 // SnapshotVersion changes with the records in state.go. A snapshot of another version is
 // not taken: half a state would decide otherwise than the whole one.
-const SnapshotVersion = 1
+const SnapshotVersion = 2
 
 // Snapshot is the state of a module between two calls.
 type Snapshot struct {
@@ -46,6 +46,7 @@
 	Answers            int
 	Stretch            float64
 	DoneRate, SendRate float64
+	WarmLoad           float64
 	LastRate           Micros
 	Sends, Dones       int
 	Calls              float64
@@ -180,7 +181,7 @@
 func (g *Gateway) Snapshot() Snapshot {
 	s := Snapshot{Version: SnapshotVersion, Settings: g.set, RNG: g.rng, Now: g.now, Born: g.born, InForce: len(g.classes), WheelAt: g.wheelAt,
 		InFlight: g.inFlight, Stuck: g.stuck, Answered: g.answered, Bound: g.bound, BoundSet: g.boundSet, CutAt: g.cutAt,
-		IdleAt: g.idleAt, Idle: g.idle, Answers: g.answers, Stretch: g.stretch, DoneRate: g.doneRate, SendRate: g.sendRate,
+		IdleAt: g.idleAt, Idle: g.idle, Answers: g.answers, Stretch: g.stretch, DoneRate: g.doneRate, SendRate: g.sendRate, WarmLoad: g.warmLoad,
 		LastRate: g.lastRate, Sends: g.sends, Dones: g.dones, Calls: g.calls, CallAt: g.callAt, PubAt: g.pubAt, CapWindow: g.capWindow}
 	var classes index[*classState]
 	var requests index[*request]
@@ -360,7 +361,7 @@
 	g.rng, g.now, g.born, g.wheelAt = s.RNG, s.Now, s.Born, s.WheelAt
 	g.inFlight, g.stuck, g.answered, g.bound, g.boundSet = s.InFlight, s.Stuck, s.Answered, s.Bound, s.BoundSet
 	g.cutAt, g.idleAt, g.idle, g.answers, g.stretch = s.CutAt, s.IdleAt, s.Idle, s.Answers, s.Stretch
-	g.doneRate, g.sendRate, g.lastRate, g.sends, g.dones = s.DoneRate, s.SendRate, s.LastRate, s.Sends, s.Dones
+	g.doneRate, g.sendRate, g.warmLoad, g.lastRate, g.sends, g.dones = s.DoneRate, s.SendRate, s.WarmLoad, s.LastRate, s.Sends, s.Dones
 	g.calls, g.callAt, g.pubAt, g.capWindow = s.Calls, s.CallAt, s.PubAt, s.CapWindow
 	return g, nil
 }
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -1,6 +1,242 @@
 package policy
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
+
+// yard is two gateways before eight workers on a clock of its own. A worker does what it
+// can, in turn; one that has just started can do less.
+type yard struct {
+	at      Micros
+	set     Settings
+	gws     []*Gateway
+	hosts   []*yardHost
+	workers []*yardWorker
+	later   []due
+	arrived map[uint32]Micros
+	served  int // in time
+	overdue int // sends past the aim
+	flooded float64
+}
+
+type due struct {
+	at Micros
+	do func()
+}
+
+type yardWorker struct {
+	up    bool
+	start Micros
+	free  Micros // when it is through with what it has
+	out   int
+	got   []Micros
+}
+
+type yardHost struct {
+	y *yard
+	i int
+}
+
+const (
+	yardWork  = 60e3 // of a request on one of two cores
+	yardCores = 2
+	yardAim   = 400e3
+)
+
+func newYard() *yard {
+	s := Settings{Gateways: 2, Tick: 4000, MaxAttempts: 3, Cancel: true, RetryAfter: true, Largest: 1,
+		Classes:   []Class{{Aim: yardAim, Deadline: 2e6, Worth: 1, Repeat: Safe}},
+		Plans:     []Plan{{Rate: 1e6, Burst: 1e6, Price: 1}},
+		ColdShare: 0.16, ColdFor: 14e6, FallMultiple: 3, FallWindow: 1500e3}
+	y := &yard{at: 100e6, set: s, arrived: map[uint32]Micros{}}
+	for range 8 {
+		y.workers = append(y.workers, &yardWorker{up: true})
+	}
+	y.gws, y.hosts = make([]*Gateway, 2), make([]*yardHost, 2)
+	for i := range y.gws {
+		y.birth(i)
+	}
+	return y
+}
+
+func (y *yard) birth(i int) {
+	set := y.set
+	set.Self = i
+	y.gws[i], y.hosts[i] = New(set, uint64(y.at)+uint64(i)), &yardHost{y, i}
+	y.gws[i].Start(y.at, y.hosts[i])
+	y.list(i)
+}
+
+// list tells a gateway of the workers as they are.
+func (y *yard) list(i int) {
+	var es []Entry
+	for k, w := range y.workers {
+		if w.up {
+			es = append(es, Entry{Server: Server(k + 1), State: Ready, ReadyAt: w.start})
+		}
+	}
+	y.gws[i].Servers(y.at, y.hosts[i], FullList, es)
+}
+
+func (y *yard) tell() {
+	for i := range y.gws {
+		y.list(i)
+	}
+}
+
+func (y *yard) after(d Micros, do func()) { y.later = append(y.later, due{y.at + max(d, 0), do}) }
+
+// can is how many requests a second a worker can do.
+func (y *yard) can(w *yardWorker) float64 {
+	full := yardCores / yardWork * 1e6
+	if w.start == 0 || y.at-w.start >= y.set.ColdFor {
+		return full
+	}
+	return full * (0.16 + 0.84*float64(y.at-w.start)/float64(y.set.ColdFor))
+}
+
+func (h *yardHost) Send(id uint32, to Server, _ Micros) {
+	y, g := h.y, h.y.gws[h.i]
+	w, n, sent := y.workers[to-1], len(g.reqs[id].attempts)-1, y.at
+	if y.at > y.arrived[id]+yardAim {
+		y.overdue++
+	}
+	end := func(after Micros, st Status) {
+		y.after(after, func() {
+			if st == OK {
+				w.out--
+				if y.at <= y.arrived[id]+yardAim {
+					y.served++
+				}
+			}
+			g.Outcome(y.at, h, Outcome{ID: id, Attempt: n, Status: st, Terminal: st == OK, Latency: y.at - sent, Server: to})
+		})
+	}
+	if !w.up {
+		end(1e3, ConnectFailed)
+		return
+	}
+	if w.got = append(w.got, y.at); w.start > 0 {
+		for w.got[0] < y.at-y.set.FallWindow {
+			w.got = w.got[1:]
+		}
+		y.flooded = max(y.flooded, float64(len(w.got))/(y.set.FallMultiple*y.can(w)*float64(y.set.FallWindow)/1e6))
+	}
+	if w.out >= 24 {
+		end(1e3, Full)
+		return
+	}
+	w.out++
+	w.free = max(w.free, y.at) + Micros(1e6/y.can(w))
+	end(max(w.free-y.at, yardWork), OK)
+}
+func (h *yardHost) Refuse(uint32, Micros) {}
+func (h *yardHost) Fail(uint32)           {}
+func (h *yardHost) Cancel(uint32, int)    {}
+func (h *yardHost) Timer(token uint64, after Micros) {
+	g := h.y.gws[h.i]
+	h.y.after(after, func() { g.Timer(h.y.at, h, token) })
+}
+func (h *yardHost) Count(uint64, float64, Micros) {}
+
+// run lets time go by with so many requests a second, and tells how many were served in time.
+func (y *yard) run(d Micros, rate int) int {
+	before, end := y.served, y.at+d
+	every := second / Micros(rate)
+	for ; y.at < end; y.at += milli {
+		for i := 0; i < len(y.later); i++ {
+			if x := y.later[i]; x.at <= y.at {
+				y.later = slices.Delete(y.later, i, i+1)
+				i--
+				x.do()
+			}
+		}
+		if y.at%every < milli {
+			id := uint32(len(y.arrived) + 1)
+			i := int(id) % 2
+			y.arrived[id] = y.at
+			y.gws[i].Request(y.at, y.hosts[i], Request{ID: id, Customer: uint64(id % 50), Left: 2e6, Units: 1, Spread: 2})
+		}
+	}
+	return y.served - before
+}
+
+// TestTheFirstSecondsAfterTrouble: what queue, bound and cold budgets do over the five
+// seconds after workers come back, at 45% of what the warm fleet can do.
+func TestTheFirstSecondsAfterTrouble(t *testing.T) {
+	const rate = 120
+	down := func(ws []*yardWorker) {
+		for _, w := range ws {
+			w.up = false
+		}
+	}
+	back := func(y *yard, ws []*yardWorker, start Micros) {
+		for _, w := range ws {
+			w.up, w.start, w.got = true, start, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		trouble func(y *yard)
+		least   [5]int // served in time, by second
+	}{
+		"one returns cold": {func(y *yard) {
+			down(y.workers[:1])
+			y.tell()
+			y.run(5e6, rate)
+			back(y, y.workers[:1], y.at)
+			y.tell()
+		}, [5]int{110, 110, 110, 110, 110}},
+		"all return cold": {func(y *yard) {
+			down(y.workers)
+			y.run(3e6, rate)
+			y.tell()
+			y.run(2e6, rate)
+			back(y, y.workers, y.at)
+			y.tell()
+		}, [5]int{0, 10, 25, 30, 60}},
+		"all return cold to gateways just born": {func(y *yard) {
+			back(y, y.workers, y.at)
+			y.birth(0)
+			y.birth(1)
+		}, [5]int{10, 10, 10, 10, 10}},
+		"all return as they were": {func(y *yard) {
+			down(y.workers)
+			y.run(12e6, rate)
+			back(y, y.workers, 0)
+		}, [5]int{60, 110, 110, 110, 110}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			y := newYard()
+			if n := y.run(10e6, rate); n < 9*rate {
+				t.Fatalf("%d of %d were served before", n, 10*rate)
+			}
+			c.trouble(y)
+			y.overdue, y.flooded = 0, 0
+			var got [5]int
+			var bounds []float64
+			for k := range got {
+				got[k] = y.run(1e6, rate)
+				bounds = append(bounds, y.gws[0].bound)
+			}
+			t.Logf("served in time by second %v, bound %.1f, cold budget used at most %.2f, sent too late %d", got, bounds, y.flooded, y.overdue)
+			for k, n := range got {
+				if n < c.least[k] {
+					t.Errorf("second %d: %d served in time, want %d", k+1, n, c.least[k])
+				}
+			}
+			if y.flooded > 1 {
+				t.Errorf("a cold worker was sent %.2f of what it bears", y.flooded)
+			}
+			if y.overdue > 0 {
+				t.Errorf("%d were sent that were too late already", y.overdue)
+			}
+			if g := y.gws[0]; g.bound < g.perServer(leastPerServer) {
+				t.Errorf("the bound stays at %.1f", g.bound)
+			}
+		})
+	}
+}
 
 // TestARefusalSaysWhenToComeBack: also the one that ends a request whose attempts are used
 // up. Seen by the orderings: it bore no advice.
@@ -30,3 +266,17 @@
 		t.Error("what was held past its aim is not refused")
 	}
 }
+
+// TestTheBoundFollowsAFleetThatGrows: one that began with a single worker does not hold ten
+// to the bound of one.
+func TestTheBoundFollowsAFleetThatGrows(t *testing.T) {
+	b := newBench(settings(), 1)
+	var es []Entry
+	for i := range 10 {
+		es = append(es, Entry{Server: Server(i + 1), State: Ready})
+	}
+	b.g.Servers(b.at, b.r, FullList, es)
+	if least := b.g.perServer(leastPerServer); b.g.bound < least {
+		t.Errorf("the bound is %.1f for 10 workers, %.1f is the least", b.g.bound, least)
+	}
+}
