Meet a worker anew when its process is a new one or it was gone

Seen in review, and in the test: under one id a new process is listed while attempts are out at the old one. Their links break: three of them shut the new process off before it had got anything, and what was known of the old one as silent, full or loaded stayed. Lines at fault: mergeList reset five fields of the record in place; judge booked every end on the record of the id.

A new life has a record of its own; what is out stays with the old one, and ends there. Ruled out: ends told by the id alone, since a late answer bears no life.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -932,7 +932,10 @@
 	g.dispatch()
 }
 
-// mergeList brings the list up to date and drops what is neither listed nor in use.
+// mergeList brings the list up to date and drops what is neither listed nor in use. A
+// server that has started anew, or was gone, is met anew: what is out stays with its old
+// life, whose late answers and breaks say nothing of the new one. Only what counts against
+// a cold start's budget is taken over.
 func (g *Gateway) mergeList(kind ListKind, entries []Entry) {
 	if kind != Delta {
 		for _, s := range g.servers {
@@ -941,19 +944,20 @@
 	}
 	for _, e := range entries {
 		s := g.byID[e.Server]
-		if s == nil {
-			s = &server{id: e.Server, rel: 1}
+		if s == nil || e.State != Gone && (e.ReadyAt != s.e.ReadyAt || s.e.State == Gone) {
+			fresh := &server{id: e.Server, rel: 1}
+			if s != nil {
+				s.listed, fresh.coldSends = false, s.coldSends
+			}
+			s = fresh
 			g.byID[e.Server] = s
 			g.servers = append(g.servers, s)
 		}
-		if e.ReadyAt != s.e.ReadyAt { // a new life
-			s.rel, s.fails, s.ejected, s.ejectedFor, s.trial = 1, 0, false, 0, false
-		}
 		s.e, s.listed = e, e.State != Gone
 	}
 	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
 		unused := !s.listed && s.open == 0
-		if unused {
+		if unused && g.byID[s.id] == s {
 			delete(g.byID, s.id)
 		}
 		return unused
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -344,7 +344,9 @@
 	}
 	for _, i := range s.Order {
 		g.servers = append(g.servers, servers[i])
-		g.byID[servers[i].id] = servers[i]
+		if s := servers[i]; s.listed || g.byID[s.id] == nil { // not an old life in the place of the new
+			g.byID[s.id] = s
+		}
 	}
 	for _, d := range s.Draws {
 		for _, one := range d.Out {
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -280,3 +280,46 @@
 		t.Errorf("the bound is %.1f for 10 workers, %.1f is the least", b.g.bound, least)
 	}
 }
+
+// TestALateAnswerOfAnOldProcessSaysNothingOfTheNew: under one id a new process starts, or
+// another comes back, with attempts out at the old one. Their ends are not the new one's;
+// what was sent to a cold start still counts.
+func TestALateAnswerOfAnOldProcessSaysNothingOfTheNew(t *testing.T) {
+	for name, list := range map[string][]Entry{
+		"a new process": {{Server: 1, State: Ready, ReadyAt: 100e6 + 50e3}},
+		"gone and back": {{Server: 1, State: Gone}, {Server: 1, State: Ready}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(settings(), 1)
+			b.g.bound = 10
+			var out []uint32
+			for i := range 4 {
+				out = append(out, b.request(2, 0, uint64(i)))
+			}
+			old := b.g.byID[1]
+			old.rel, old.fullUntil, old.lost = 9, 200e6, true
+			old.coldSends = []Micros{b.at}
+			b.at += 60e3
+			for _, e := range list {
+				b.g.Servers(b.at, b.r, Delta, []Entry{e})
+			}
+			for _, id := range out { // the links to the old process break
+				b.g.Outcome(b.at, b.r, Outcome{ID: id, Status: Reset, Latency: 60e3, Server: 1})
+			}
+			s := b.g.byID[1]
+			if s == nil || s == old {
+				t.Fatal("the new process is taken for the old one")
+			}
+			if s.ejected || s.fails > 0 || s.rel != 1 || s.fullUntil != 0 || s.lost || s.open != 0 || len(s.coldSends) != 1 {
+				t.Errorf("of the old one the new one has %+v", s)
+			}
+			b.g.Servers(b.at, b.r, Delta, nil)
+			if n := len(b.g.servers); n != 1 {
+				t.Errorf("%d servers are kept", n)
+			}
+			if restored, err := Restore(b.g.Snapshot()); err != nil || restored.byID[1].e != s.e {
+				t.Errorf("a snapshot goes on with another: %v", err)
+			}
+		})
+	}
+}
