Keep one request's claims from deciding for its customer's others

Seen in review, and in the test: the first request in a customer's name fixed the plan and the set of its record. One that claimed to come through one gateway alone handed this gateway the whole of a ceiling that others share (40 units let in where 20 are our part); one that claimed another plan had the customer's own refused for good, as its part of the ceiling never filled. Lines at fault: customer took plan and spread from whoever came first.

A record is of a customer under a plan, and of the sets claimed the widest counts. Ruled out: refusing what contradicts the record, which would let the false one shut out the true.

--- a/internal/replay/explain.go
+++ b/internal/replay/explain.go
@@ -14,7 +14,7 @@
 
 // viewer is a module that tells what it thinks. policy.Gateway is one.
 type viewer interface {
-	View(now policy.Micros, customer uint64) policy.View
+	View(now policy.Micros, customer uint64, plan int) policy.View
 }
 
 // explainer follows one request through a capture.
@@ -88,7 +88,7 @@
 		}
 	}
 	if v, ok := m.(viewer); ok && e.found && !e.over {
-		e.before = v.View(at, e.request.Customer)
+		e.before = v.View(at, e.request.Customer, e.request.Plan)
 		if e.kind == capturepb.Kind_REQUESTED && r.GetId() == e.number {
 			e.figures()
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -559,7 +559,7 @@
 		b.g.Timer(b.at, b.r, tokenTick<<32)
 	}
 	idle(2 * idleAge)
-	if b.g.customers[1] != nil || b.g.customers[2] == nil {
+	if b.g.customers[1] != nil || b.g.customers[recordKey(2, 1)] == nil {
 		t.Fatalf("after %d s: %d customers kept, want only the one under the ceiling", 2*idleAge/second, len(b.g.customers))
 	}
 	idle(100e6)
--- a/policy/store.go
+++ b/policy/store.go
@@ -154,12 +154,18 @@
 	}
 }
 
-// customer is the record of a request's customer, made where there is none.
+// recordKey names the record of a customer under a plan. It guards a customer against
+// requests that come in its name with another plan: its stores would be kept by that.
+func recordKey(customer uint64, plan int) uint64 { return customer ^ uint64(plan)<<48 }
+
+// customer is the record of a request's customer, made where there is none. Of the sets
+// that requests claim, the widest counts: a single false one would hand us the whole of a
+// quota or ceiling that others share.
 func (g *Gateway) customer(r Request) *customer {
-	c := g.customers[r.Customer]
+	key := recordKey(r.Customer, r.Plan)
+	c, spread := g.customers[key], float64(min(max(r.Spread, 1), max(g.set.Gateways, 1)))
 	if c == nil {
-		spread := min(max(r.Spread, 1), max(g.set.Gateways, 1))
-		c = &customer{key: r.Customer, plan: &g.plans[r.Plan], spread: float64(spread), at: g.now}
+		c = &customer{key: key, plan: &g.plans[r.Plan], spread: spread, at: g.now}
 		c.seenPub = g.pubAt
 		c.share = 1 / c.spread
 		c.tokens = g.store(c)
@@ -171,11 +177,11 @@
 			sinceBirth := float64(g.now-g.born) / 1e6
 			c.guard = min(p.CeilingBurst, p.CeilingRate*sinceBirth) / c.spread
 		}
-		g.customers[r.Customer] = c
+		g.customers[key] = c
 		i := c.key * 0x9e3779b97f4a7c15 >> 32 % uint64(len(g.wheel))
 		g.wheel[i] = append(g.wheel[i], c)
 	}
-	c.touched = g.now
+	c.spread, c.touched = max(c.spread, spread), g.now
 	return c
 }
 
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -323,3 +323,32 @@
 		})
 	}
 }
+
+// TestOneRequestsClaimsDoNotDecideForOthers: a request in a customer's name that claims
+// another plan, or to come through one gateway alone, neither shuts the customer out nor
+// hands this gateway the whole of its ceiling.
+func TestOneRequestsClaimsDoNotDecideForOthers(t *testing.T) {
+	for name, false1 := range map[string]Request{
+		"another plan":     {ID: 1, Plan: 0, Customer: 5, Left: 2e6, Units: 1, Spread: 2},
+		"no other gateway": {ID: 1, Plan: 1, Customer: 5, Left: 2e6, Units: 1, Spread: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings()
+			s.Plans[1].Rate, s.Plans[1].Burst = 1000, 1000
+			b := newBench(s, 4)
+			b.at += 100e6 // our part of every ceiling is full
+			b.g.Timer(b.at, b.r, tokenTick<<32)
+			b.g.Request(b.at, b.r, false1)
+			b.answer(10e3, OK)
+			b.at += 1e6
+			before := len(b.r.sent)
+			for range 60 {
+				b.request(0, 1, 5)
+				b.answer(10e3, OK)
+			}
+			if n := len(b.r.sent) - before; n < 15 || n > 20 {
+				t.Errorf("%d were let in, of a part of 20 in the ceiling", n)
+			}
+		})
+	}
+}
--- a/policy/view.go
+++ b/policy/view.go
@@ -46,8 +46,8 @@
 	Cold     bool
 }
 
-// View is the module's state at a time, for a customer.
-func (g *Gateway) View(now Micros, key uint64) View {
+// View is the module's state at a time, for a customer under a plan.
+func (g *Gateway) View(now Micros, customer uint64, plan int) View {
 	g.now = now
 	v := View{Bound: g.bound, InFlight: g.inFlight, Stuck: g.stuck, Held: g.queued, Calls: g.calls}
 	for _, s := range g.servers {
@@ -58,7 +58,7 @@
 		}
 		v.Servers = append(v.Servers, sv)
 	}
-	known := g.customers[key]
+	known := g.customers[recordKey(customer, plan)]
 	if known == nil {
 		return v
 	}
