--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,6 @@
 		CapSlack    float64 `json:"cap-slack"`
 		CeilingRate float64 `json:"ceiling-rate"`
 		Concurrency int     `json:"concurrency"`
-		ExtraWorth  float64 `json:"extra-worth"`
 		HardBurst   float64 `json:"hard-burst"`
 		OverrunCost float64 `json:"overrun-cost"`
 		Pays        float64 `json:"pays"`
@@ -140,7 +139,7 @@
 		s.Plans = append(s.Plans, policy.Plan{
 			Rate: t.Refill, Burst: t.Burst, Open: t.Concurrency,
 			CeilingRate: t.CeilingRate, CeilingBurst: t.HardBurst, CeilingSlack: t.CapSlack,
-			Price: t.Pays, OverCost: t.OverrunCost, OverWorth: t.ExtraWorth,
+			Price: t.Pays, OverCost: t.OverrunCost,
 		})
 	}
 	return s, names, nil
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,8 +75,6 @@
 	subsetLeast  = 6          // servers are used at least, the first in our own order
 	subsetEvery  = 1.0        // or so many that each gets a request of ours in so many seconds
 	relForget    = 6 * second // an unused server's bad name halves in this time
-	reportSmooth = 2 * second // over which reports are averaged
-	othersPart   = 0.2        // of what they say is counted: it is older than most requests live
 	loadLeast    = 0.25       // an attempt counts as this much of an average one at least
 	loadMost     = 4.0        // and as this much at most
 	silentFactor = 2.0        // expected latencies of silence that cast doubt on a server
@@ -335,8 +333,6 @@
 		g.await(q)
 		g.call(q.cust, q)
 	case g.beyond(q):
-	case g.thin(q.cust) && q.plan.OverCost <= 0 && q.plan.OverWorth > 0: // nothing is lost beyond the quota
-		g.enqueue(q)
 	case g.shared(q.cust) && g.ask(q):
 	case q.plan.Open > 0 && g.thin(q.cust) && g.draw(q):
 	default:
@@ -420,7 +416,7 @@
 // that are granted says that letting it in costs more than it earns.
 func (g *Gateway) unknown(q *request) bool {
 	p := q.plan
-	if p.granted*(1-p.OverWorth+p.OverCost) >= p.OverCost-p.OverWorth {
+	if p.granted*(1+p.OverCost) >= p.OverCost {
 		return false
 	}
 	g.refuse(q, unknownWait)
@@ -547,7 +543,7 @@
 // end gives the final answer to a request that goes no further: a refusal only
 // where trying again is harmless.
 func (g *Gateway) end(q *request, wait Micros) {
-	harmless := !q.uncertain && q.open == 0 || q.class.Repeat == Safe ||
+	harmless := !q.uncertain || q.class.Repeat == Safe ||
 		q.class.Repeat == Keyed && q.class.Group == GroupAll
 	if harmless {
 		g.refuse(q, wait)
@@ -597,7 +593,6 @@
 	switch {
 	case q.done || o.Terminal || o.Status == OK:
 		g.finish(q)
-	case q.open > 0: // another copy is out
 	case g.mayRetry(q):
 		g.hold(q)
 		do.Timer(tokenGiveUp<<32|uint64(q.id), max(g.giveUp(q)-now, 0))
@@ -758,12 +753,6 @@
 			g.eject(s)
 		}
 	}
-	if i := slices.Index(g.set.InlineLoad, "inflight"); i >= 0 && i < len(o.Load) && o.Load[i] >= 0 {
-		dt := float64(g.now - s.othersAt)
-		others := max(float64(o.Load[i])-float64(s.open), 0)
-		s.others += (others - s.others) * dt / (dt + float64(reportSmooth))
-		s.othersAt = g.now
-	}
 }
 
 func (g *Gateway) cut(pause Micros) {
@@ -895,7 +884,7 @@
 
 func (g *Gateway) cost(s *server) float64 {
 	rel := g.relOf(s)
-	cost := rel * (s.load + othersPart*s.others + 1)
+	cost := rel * (s.load + 1)
 	if sil, exp := g.silence(s), g.typical()*rel; sil > silentFactor*exp {
 		cost *= sil / exp
 	}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -127,8 +127,6 @@
 	RelAt                       Micros
 	Load                        float64
 	Answered                    Micros
-	Others                      float64
-	OthersAt                    Micros
 	Fails                       int
 	Ejected, Trial, Lost        bool
 	EjectedFor, RetryAt, FullTo Micros
@@ -268,7 +266,7 @@
 
 func serverRecord(s *server, requests *index[*request]) ServerRecord {
 	r := ServerRecord{Entry: s.e, ID: s.id, Listed: s.listed, Place: s.place, Rel: s.rel, RelAt: s.relAt, Load: s.load, Answered: s.answered,
-		Others: s.others, OthersAt: s.othersAt, Fails: s.fails, Ejected: s.ejected, Trial: s.trial, Lost: s.lost, EjectedFor: s.ejectedFor,
+		Fails: s.fails, Ejected: s.ejected, Trial: s.trial, Lost: s.lost, EjectedFor: s.ejectedFor,
 		RetryAt: s.retryAt, FullTo: s.fullUntil, ColdSends: slices.Clone(s.coldSends)}
 	for a := s.head; a != nil; a = a.next {
 		r.Out = append(r.Out, [2]int{requests.of(a.req), a.n})
@@ -380,7 +378,7 @@
 
 func restoreServer(r *ServerRecord) *server {
 	return &server{id: r.ID, e: r.Entry, listed: r.Listed, place: r.Place, rel: r.Rel, relAt: r.RelAt, load: r.Load, answered: r.Answered,
-		others: r.Others, othersAt: r.OthersAt, fails: r.Fails, ejected: r.Ejected, trial: r.Trial, lost: r.Lost, ejectedFor: r.EjectedFor,
+		fails: r.Fails, ejected: r.Ejected, trial: r.Trial, lost: r.Lost, ejectedFor: r.EjectedFor,
 		retryAt: r.RetryAt, fullUntil: r.FullTo, coldSends: slices.Clone(r.ColdSends)}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,8 +47,6 @@
 	load       float64  // work of own attempts outstanding
 	head, tail *attempt // own attempts outstanding, oldest first
 	answered   Micros   // last answer of any kind
-	others     float64  // reported requests that are not ours
-	othersAt   Micros
 	fails      int
 	ejected    bool
 	ejectedFor Micros
--- a/policy/types.go
+++ b/policy/types.go
@@ -45,7 +45,7 @@
 	Rate, Burst                             float64
 	Open                                    int
 	CeilingRate, CeilingBurst, CeilingSlack float64
-	Price, OverCost, OverWorth              float64
+	Price, OverCost                         float64
 }
 
 // Settings is what a gateway is told at its start. Zero values mean that the
@@ -111,7 +111,7 @@
 	Used     int     // 1 + percent of the quota used, 0 for none
 	Attempt  int
 	Server   Server
-	Load     []float32
+	Load     []float32 // what the worker reports; captures keep it, decisions do not go by it
 }
 
 // State is what the list says of a server.
--- a/policy/view.go
+++ b/policy/view.go
@@ -38,7 +38,6 @@
 	Listed   bool
 	Open     int     // own attempts out
 	Load     float64 // their work, in average ones
-	Others   float64 // reported requests that are not ours
 	Slowness float64 // against the fleet's latency
 	Cost     float64 // by which it is chosen, before chance
 	Shut     Micros  // for which it is shut off, 0 where it is not
@@ -51,7 +50,7 @@
 	g.now = now
 	v := View{Bound: g.bound, InFlight: g.inFlight, Stuck: g.stuck, Held: g.queued, Calls: g.calls}
 	for _, s := range g.servers {
-		sv := ServerView{Server: s.id, State: s.e.State, Listed: s.listed, Open: s.open, Load: s.load, Others: s.others,
+		sv := ServerView{Server: s.id, State: s.e.State, Listed: s.listed, Open: s.open, Load: s.load,
 			Slowness: g.relOf(s), Cost: g.cost(s), Full: max(s.fullUntil-now, 0), Cold: g.cold(s)}
 		if s.ejected {
 			sv.Shut = max(s.retryAt-now, 0)
