Tell the module of a counter name's calls in their order, whatever the links do

Seen in review, and in the test: a call that waits behind a moved counter's last answers and then finds nobody at the new address ends before the one it waited for. The module knows calls by their name only, so the failure was taken for the earlier call's: its units were counted as never told, and its answer later settled the other request. Lines at fault: Gatekeeper.Counted passed ends on as they came; Counter.failed ends what waits though calls are out at the old address.

Ruled out: an order kept by the links, which each embedder would have to keep again.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -95,8 +95,11 @@
 	Amount float64
 	Life   float64 // of a new name, in milliseconds
 
-	began float64
-	ended bool
+	began  float64
+	ended  bool
+	status policy.Status
+	total  float64
+	took   policy.Micros
 }
 
 // Gatekeeper is one gatekeeper's requests, executions and timers.
@@ -110,6 +113,7 @@
 	requests map[uint32]*Request
 	names    map[string]bool // of the open requests that have one
 	lastID   uint32
+	counts   map[uint64][]*Count // that the module has not been told of, by name, in their order
 	timers   timers
 	wokenAt  float64
 	patience float64 // of counter calls
@@ -144,7 +148,7 @@
 func New(c Config) *Gatekeeper {
 	g := &Gatekeeper{
 		clock: c.Clock, decide: module(c), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
-		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{},
+		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{}, counts: map[uint64][]*Count{},
 		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes, recorder: c.Recorder,
 	}
 	if g.patience <= 0 {
@@ -274,14 +278,21 @@
 	})
 }
 
-// Counted ends a counter call. A call that has timed out is over already.
+// Counted ends a counter call. A call that has timed out is over already. The module is
+// told of a name's calls in their order, as it can't tell them apart: a call that fails at
+// once waits for an earlier one that is still out.
 func (g *Gatekeeper) Counted(c *Count, st policy.Status, total float64) {
 	if c.ended {
 		return
 	}
-	c.ended = true
-	delay := micros(g.clock.Now() - c.began)
-	g.enter(func(now policy.Micros) { g.decide.Counted(now, g, c.Name, delay, st, total) })
+	c.ended, c.status, c.total, c.took = true, st, total, micros(g.clock.Now()-c.began)
+	for list := g.counts[c.Name]; len(list) > 0 && list[0].ended; list = g.counts[c.Name] {
+		first := list[0]
+		if g.counts[c.Name] = list[1:]; len(list) == 1 {
+			delete(g.counts, c.Name)
+		}
+		g.enter(func(now policy.Micros) { g.decide.Counted(now, g, first.Name, first.took, first.status, first.total) })
+	}
 }
 
 // Workers brings the host group, whole or as changes to it.
@@ -449,6 +460,7 @@
 // Count implements policy.Host.
 func (g *Gatekeeper) Count(name uint64, amount float64, life policy.Micros) {
 	c := &Count{Name: name, Amount: amount, Life: millis(life), began: g.clock.Now()}
+	g.counts[name] = append(g.counts[name], c)
 	g.timers.push(timer{at: c.began + g.patience, count: c})
 	g.counter.Add(c)
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -238,3 +238,26 @@
 		t.Fatal(diff)
 	}
 }
+
+// TestCallsOfANameAreToldInTheirOrder: the module can't tell the calls of a name apart. Seen
+// in review: a call that waits behind a moved counter's last answers, and then finds nobody
+// at the new address, ended before the one that it waited for.
+func TestCallsOfANameAreToldInTheirOrder(t *testing.T) {
+	r := newRig(t, func(s *policy.Settings) {
+		s.Counter, s.CounterTimeout, s.Largest = true, 50e3, 6
+		s.Plans[0] = policy.Plan{Rate: 5, Burst: 5, Price: 1, OverCost: 1}
+	})
+	r.take(0)
+	r.take(0)
+	if len(r.calls) != 2 || r.calls[0].Name != r.calls[1].Name {
+		t.Fatalf("%d calls for two requests of one customer", len(r.calls))
+	}
+	r.Counted(r.calls[1], policy.ConnectFailed, 0)
+	if len(r.out) != 0 {
+		t.Fatal("the second call's end is taken for the first's")
+	}
+	r.Counted(r.calls[0], policy.OK, 0)
+	if len(r.out) != 2 {
+		t.Fatalf("%d of two requests went on", len(r.out))
+	}
+}
