Ask in one place whether a request is late, and keep the lines within their columns

What can't be answered before its client's end is late too, so mayRetry and the timer of held repeats need not ask again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,9 +86,9 @@
 	ejectMost    = 8 * second
 	trialCost    = 100.0 // times as dear is a server while a trial of it is out
 	fullPause    = 50 * milli
-	coldSafety   = 0.5         // of our part of a cold server's budget is used
-	warmForget   = 30 * second // what servers were seen to bear counts half after this
-	zoneFactor   = 10          // cost of a far server grows by this times the price of crossing
+	coldSafety   = 0.5  // of our part of a cold server's budget is used
+	warmForget   = 30.0 // seconds after which what servers were seen to bear counts half
+	zoneFactor   = 10   // cost of a far server grows by this times the price of crossing
 
 	step = 10 * milli // pace of the housekeeping tick
 )
@@ -602,15 +602,17 @@
 	g.dispatch()
 }
 
-// late tells that an answer would come past the aim, and that little worth is left then.
+// late tells that an answer would come past the aim, and that little worth is left then,
+// or that no time is.
 func (g *Gateway) late(q *request) bool {
-	return g.now >= g.giveUp(q) && q.class.LateWorth < lateLeast
+	return g.now >= g.giveUp(q) && q.class.LateWorth < lateLeast ||
+		q.deadline-g.now < 4*max(g.set.Tick, milli)
 }
 
 // mayRetry guards rule 2: what may have run goes out again only as its class allows. And
 // it guards workers against what is too late: it would take the place of what is not.
 func (g *Gateway) mayRetry(q *request) bool {
-	if len(q.attempts) >= max(g.set.MaxAttempts, 1) || q.deadline-g.now < 4*max(g.set.Tick, milli) || g.late(q) {
+	if len(q.attempts) >= max(g.set.MaxAttempts, 1) || g.late(q) {
 		return false
 	}
 	if !q.uncertain || q.class.Repeat == Safe {
@@ -642,7 +644,7 @@
 		if q == nil || q.done || !q.held && !q.drawing {
 			return
 		}
-		if q.sent && !g.late(q) && q.deadline-now > 3*max(g.set.Tick, milli) {
+		if q.sent && !g.late(q) {
 			do.Timer(token, max(g.giveUp(q)-now, step))
 			return
 		}
@@ -832,14 +834,14 @@
 	for len(s.coldSends) > 0 && g.now-s.coldSends[0] > g.set.FallWindow {
 		s.coldSends = s.coldSends[1:]
 	}
-	bears := max(g.warmLoad, g.sendRate/float64(max(g.subset(), 1)), 1e6/g.typical()/float64(max(g.set.Gateways, 1)))
+	bears := max(g.warmLoad, g.sendRate/float64(g.subset()), 1e6/g.typical()/float64(max(g.set.Gateways, 1)))
 	allow := coldSafety * g.set.FallMultiple * g.warmth(s) * bears * float64(g.set.FallWindow) / 1e6
 	return float64(len(s.coldSends)) < g.byTurns(allow, max(g.set.FallWindow, step), mix(uint64(s.id), 0))
 }
 
 // subset is how many servers of our own order we use.
 func (g *Gateway) subset() int {
-	return min(max(subsetLeast, int(g.sendRate*subsetEvery)), len(g.servers))
+	return max(min(max(subsetLeast, int(g.sendRate*subsetEvery)), len(g.servers)), 1)
 }
 
 // pick chooses the server with the least expected wait among those allowed.
@@ -1006,7 +1008,7 @@
 		g.doneRate += (float64(g.dones)/secs - g.doneRate) * 0.3
 		g.sendRate += (float64(g.sends)/secs - g.sendRate) * 0.2
 		g.dones, g.sends, g.lastRate = 0, 0, g.now
-		g.warmLoad = max(g.sendRate/float64(max(g.subset(), 1)), g.warmLoad*math.Exp2(-float64(dt)/float64(warmForget)))
+		g.warmLoad = max(g.sendRate/float64(g.subset()), g.warmLoad*math.Exp2(-secs/warmForget))
 	}
 	g.watch()
 	g.dispatch()
--- a/policy/recover.go
+++ b/policy/recover.go
@@ -31,7 +31,7 @@
 	}
 	for i := range min(s.InForce, len(g.classes)) {
 		if c := s.Classes[i]; g.classes[i].Class == c.Class {
-			g.classes[i] = classState{Class: c.Class, units: c.Units, longest: c.Longest, full: c.Full, lat: c.Lat, n: c.N}
+			g.classes[i] = c.state()
 		}
 	}
 	for i, p := range s.Plans {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -64,6 +64,10 @@
 	N       int
 }
 
+func (c *ClassRecord) state() classState {
+	return classState{Class: c.Class, units: c.Units, longest: c.Longest, full: c.Full, lat: c.Lat, n: c.N}
+}
+
 // PlanRecord is what is learned of a plan.
 type PlanRecord struct{ Holds, Granted float64 }
 
@@ -301,7 +305,7 @@
 		} else {
 			classes[i] = &g.classes[i]
 		}
-		*classes[i] = classState{Class: c.Class, units: c.Units, longest: c.Longest, full: c.Full, lat: c.Lat, n: c.N}
+		*classes[i] = c.state()
 	}
 	for i, p := range s.Plans {
 		g.plans[i].holds, g.plans[i].granted = p.Holds, p.Granted
