Use no link to a worker's old process or address, and blame neither on the new one

Seen in review, and in the tests: a worker's process is a new one under the same id and address, and warm links to the old one were still used (a machine that is gone says nothing: what is written there waits or breaks, and counts as may have run); a dial to an old address that fails ended what waits as if the new address refused; its old attempts' breaks shut the new one off; a worker named twice as draining was placed again, its links were usable, and once gone it was kept for good. Lines at fault: Place knew addresses only, and was called for draining workers; failed ended executions whatever was dialled; Apply told the module of a new address as of no change.

Links older than the process, by the list's start time, carry nothing new; those opened since stay. A failed dial to an old address opens another. The host group tells the module that the worker at the old address went. Ruled out: closing all links on a new start, as those to the new process cost a cold worker a handshake.

--- a/internal/link/carrier_test.go
+++ b/internal/link/carrier_test.go
@@ -189,7 +189,9 @@
 			d.pass(rapid.SampledFrom([]float64{1, 6, 250, 1100}).Draw(t, "ms"))
 			d.fleet.Sweep()
 		},
-		"move":    func(t *rapid.T) { d.fleet.Place(1, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "to")) },
+		"move": func(t *rapid.T) {
+			d.fleet.Place(1, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "to"), rapid.SampledFrom([]float64{0, 0, d.clock.Now() - 5}).Draw(t, "since"))
+		},
 		"release": func(*rapid.T) { d.fleet.Release(1) },
 		"":        func(*rapid.T) { d.turn(); d.check() },
 	}
@@ -211,7 +213,7 @@
 				for range 10 { // short ones may share a line
 					d.fleet.table.Learn(0, 1)
 				}
-				d.fleet.Place(1, "a")
+				d.fleet.Place(1, "a", 0)
 				t.Repeat(d.actions())
 				for len(d.dials) > 0 || len(d.conns) > 0 {
 					for len(d.dials) > 0 {
@@ -242,7 +244,7 @@
 // from inside the look for one, and the look went on behind the end of the list.
 func TestTwoLinksThatAreNotQuietAtOnce(t *testing.T) {
 	w := newWorld(Transport{})
-	w.fleet.Place(1, "a")
+	w.fleet.Place(1, "a", 0)
 	for n := range 3 {
 		w.fleet.Execute(execution(n, 0, 0))
 	}
@@ -259,3 +261,58 @@
 		t.Errorf("%d links that are not quiet are kept", len(w.conns))
 	}
 }
+
+// TestALinkToAnotherProcessIsNotUsed: where a worker's process is a new one, or listens
+// elsewhere, links that are older lead to what is no more. Those that were opened since,
+// before the list told of it, stay.
+func TestALinkToAnotherProcessIsNotUsed(t *testing.T) {
+	for _, carrier := range []Carrier{OneAtATime, Pipeline, HTTP2, Batch} {
+		t.Run(carrier.String(), func(t *testing.T) {
+			w := newWorld(Transport{Carrier: carrier})
+			w.fleet.Place(1, "a", 0)
+			open := func() {
+				x := execution(len(w.dials), 0, 0)
+				w.fleet.Execute(x)
+				c := w.dials[len(w.dials)-1]
+				c.model, c.room = newModel(carrier), 1<<20
+				w.conns = append(w.conns, c)
+				w.fleet.Abandon(x) // so that the link rests
+				c.end.opened(c)
+				w.turn()
+			}
+			open()
+			w.clock.Set(w.clock.Now() + 100)
+			w.fleet.Place(1, "a", w.clock.Now()-50)
+			if len(w.conns) != 0 {
+				t.Error("a link to the old process is kept")
+			}
+			open()
+			w.fleet.Place(1, "a", w.clock.Now()-10)
+			if len(w.conns) != 1 {
+				t.Error("a link to the new process is closed")
+			}
+			w.fleet.Place(1, "b", w.clock.Now()-10)
+			if len(w.conns) != 0 {
+				t.Error("a link to the old address is kept")
+			}
+		})
+	}
+}
+
+// TestAFailedDialToTheOldAddressIsNotTheNewOnes: what waits is not told that the worker
+// can't be reached, but has a link opened to where it listens now.
+func TestAFailedDialToTheOldAddressIsNotTheNewOnes(t *testing.T) {
+	for _, carrier := range []Carrier{OneAtATime, Pipeline, HTTP2, Batch} {
+		t.Run(carrier.String(), func(t *testing.T) {
+			w := newWorld(Transport{Carrier: carrier})
+			w.fleet.Place(1, "a", 0)
+			x := execution(0, 0, 0)
+			w.fleet.Execute(x)
+			w.fleet.Place(1, "b", 0)
+			w.dials[0].failed(fmt.Errorf("refused"))
+			if len(w.ends[x]) != 0 || len(w.dials) != 2 {
+				t.Errorf("ended with %v, %d dials", w.ends[x], len(w.dials))
+			}
+		})
+	}
+}
--- a/internal/link/cutoff_test.go
+++ b/internal/link/cutoff_test.go
@@ -35,7 +35,7 @@
 			f := NewFleet(loop, clock, modelReader{}, 250, 5000, Transport{Carrier: carrier})
 			f.Attach(w)
 			x := execution(1, 0, body)
-			loop.Post(func() { f.Place(1, ln.Addr().String()); f.Execute(x) })
+			loop.Post(func() { f.Place(1, ln.Addr().String(), 0); f.Execute(x) })
 			c, err := ln.Accept()
 			if err != nil {
 				t.Fatal(err)
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -30,8 +30,8 @@
 type carrier interface {
 	// execute sends an execution, or keeps it until a link can take it.
 	execute(x *gatekeeper.Execution)
-	// moved tells that the worker listens elsewhere from now on: links to where it was
-	// finish what they hold and get nothing new.
+	// moved tells that the worker listens elsewhere from now on, or is another process:
+	// links to what it was finish what they hold and get nothing new.
 	moved()
 	// release tells that the worker takes nothing new: what has not been sent ends as
 	// never run, and links at rest are closed.
@@ -75,10 +75,16 @@
 	fleet *Fleet
 	id    policy.Server
 	addr  string
+	since float64 // when its process started: an older link leads to one that has ended
 	gone  bool
 	carry carrier
 }
 
+// takes tells whether a link that was opened at a time may carry something new.
+func (w *worker) takes(addr string, born float64) bool {
+	return !w.gone && addr == w.addr && born >= w.since
+}
+
 // NewFleet makes a fleet without workers. Links are retired when they have rested
 // for idleMost milliseconds.
 func NewFleet(l driver, clock *gatekeeper.Clock, r Reader, connectMost, idleMost float64, t Transport) *Fleet {
@@ -107,8 +113,8 @@
 	return lanes.Terms{Aim: float64(c.Aim) / 1000, Share: share}
 }
 
-// Place tells where a worker listens.
-func (f *Fleet) Place(id policy.Server, addr string) {
+// Place tells where a worker that takes work listens, and when its process started.
+func (f *Fleet) Place(id policy.Server, addr string, since float64) {
 	w := f.workers[id]
 	if w == nil {
 		w = &worker{fleet: f, id: id}
@@ -116,8 +122,9 @@
 		f.workers[id] = w
 	}
 	w.gone = false
-	if w.addr != addr {
-		w.addr = addr
+	since = min(since, f.clock.Now()) // or links would be old from the start
+	if w.addr != addr || w.since != since {
+		w.addr, w.since = addr, since
 		w.carry.moved()
 	}
 }
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -44,6 +44,7 @@
 	fleet   *Fleet
 	set     *serial
 	addr    string
+	born    float64 // when its opening began
 	c       gnet.Conn
 	parser  *http1.Parser
 	x       *gatekeeper.Execution
@@ -65,8 +66,10 @@
 }
 
 func (s *serial) moved() {
-	for len(s.idle) > 0 {
-		s.idle[len(s.idle)-1].shut()
+	for _, l := range slices.Clone(s.idle) {
+		if !l.usable() {
+			l.shut()
+		}
 	}
 }
 
@@ -104,7 +107,7 @@
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
-		if l.quiet() {
+		if l.usable() && l.quiet() {
 			return l
 		}
 		l.shut()
@@ -163,7 +166,7 @@
 		f.openings++
 		s.links++
 		f.links++
-		l := &server{fleet: f, set: s, addr: s.w.addr, parser: http1.Answers()}
+		l := &server{fleet: f, set: s, addr: s.w.addr, born: now, parser: http1.Answers()}
 		f.loop.dial(s.w.addr, f.patience, l, l.failed)
 	}
 }
@@ -206,7 +209,7 @@
 }
 
 // usable tells whether new executions may go out on the link.
-func (l *server) usable() bool { return !l.dead && !l.set.w.gone && l.addr == l.set.w.addr }
+func (l *server) usable() bool { return !l.dead && l.set.w.takes(l.addr, l.born) }
 
 // failed reports a connection that did not come up.
 func (l *server) failed(error) {
@@ -214,6 +217,10 @@
 	s.openings--
 	f.openings--
 	l.ended()
+	if l.addr != s.w.addr { // that says nothing of where the worker listens now
+		s.open()
+		return
+	}
 	if len(s.queue) > s.openings {
 		f.end(s.next(), policy.ConnectFailed)
 	}
--- a/internal/link/shared.go
+++ b/internal/link/shared.go
@@ -52,6 +52,7 @@
 	set     *shared
 	fleet   *Fleet
 	addr    string
+	born    float64 // when its opening began
 	c       gnet.Conn
 	speech  speech
 	given   int64 // bytes written to the connection
@@ -152,7 +153,7 @@
 	f.openings++
 	s.links++
 	f.links++
-	t := &trunk{set: s, fleet: f, addr: s.w.addr}
+	t := &trunk{set: s, fleet: f, addr: s.w.addr, born: f.clock.Now()}
 	t.speech = s.speak(t)
 	f.loop.dial(s.w.addr, f.patience, t, t.failed)
 }
@@ -213,7 +214,7 @@
 
 // usable tells whether new executions may go out on the link.
 func (t *trunk) usable() bool {
-	return !t.dead && !t.set.w.gone && t.addr == t.set.w.addr && !t.speech.leaving()
+	return !t.dead && t.set.w.takes(t.addr, t.born) && !t.speech.leaving()
 }
 
 func (t *trunk) room() int {
@@ -286,6 +287,10 @@
 	s.openings--
 	t.fleet.openings--
 	t.ended()
+	if t.addr != s.w.addr { // that says nothing of where the worker listens now
+		s.pump()
+		return
+	}
 	if s.openings > 0 || slices.ContainsFunc(s.trunks, (*trunk).usable) {
 		return
 	}
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -34,8 +34,8 @@
 type HostGroup struct {
 	Core  *gatekeeper.Gatekeeper
 	Fleet interface {
-		// Place tells where a worker listens.
-		Place(id policy.Server, addr string)
+		// Place tells where a worker that takes work listens, and when its process started.
+		Place(id policy.Server, addr string, since float64)
 	}
 	Names settings.Names
 
@@ -68,6 +68,7 @@
 // Apply takes a list.
 func (g *HostGroup) Apply(kind policy.ListKind, l List) {
 	entries := make([]policy.Entry, 0, len(l.Instances))
+	before := g.addrs
 	if kind != policy.Delta || g.addrs == nil {
 		g.addrs = map[policy.Server]string{}
 	}
@@ -80,8 +81,15 @@
 		if e.State == policy.Gone {
 			delete(g.addrs, e.Server)
 		} else {
+			if old, ok := before[e.Server]; ok && old != it.Addr { // what is known of it is of another process
+				left := e
+				left.State = policy.Gone
+				entries = append(entries, left)
+			}
 			g.addrs[e.Server] = it.Addr
-			g.Fleet.Place(e.Server, it.Addr)
+		}
+		if e.State == policy.Ready {
+			g.Fleet.Place(e.Server, it.Addr, it.Started)
 		}
 		entries = append(entries, e)
 	}
--- a/internal/platform/orderings_test.go
+++ b/internal/platform/orderings_test.go
@@ -239,7 +239,7 @@
 }
 
 // Place is what the host group needs of the links.
-func (g *gate) Place(policy.Server, string) { g.placed++ }
+func (g *gate) Place(policy.Server, string, float64) { g.placed++ }
 
 func (g *gate) Release(policy.Server) {}
 
@@ -720,3 +720,39 @@
 		})
 	}
 }
+
+// TestOnlyAWorkerThatTakesWorkIsPlaced: to be told once more that a worker drains must not
+// have its links used again, nor be kept for good once it has gone.
+func TestOnlyAWorkerThatTakesWorkIsPlaced(t *testing.T) {
+	w := newWorld(truth())
+	g := w.gates[0]
+	before := g.placed
+	for range 2 {
+		drains.do(w)
+	}
+	if g.placed != before {
+		t.Errorf("a draining worker was placed %d times", g.placed-before)
+	}
+}
+
+// TestAnotherAddressIsAnotherProcess: the ends of what is out at a worker's old address say
+// nothing of the process at the new one.
+func TestAnotherAddressIsAnotherProcess(t *testing.T) {
+	w := newWorld(truth())
+	g := w.gates[0]
+	for range 8 {
+		unsafe.do(w)
+	}
+	moves.do(w)
+	for _, s := range slices.Clone(g.out) {
+		if g.names[s.x.Worker] == "a" {
+			g.Done(s.x, gatekeeper.Outcome{Status: policy.Reset})
+		}
+	}
+	standings, _ := g.Standings()
+	for _, s := range standings {
+		if s.Shut {
+			t.Errorf("%q is shut off", g.names[s.Server])
+		}
+	}
+}
