Refuse claims that stand twice on the OpenAPI front; let a worker's weight count

And a weight in an operator's HCL file was read and had no effect, since the settings that make the module go by weights are the platform's. Lines at fault: Front.Request, file.pool.

Both are mended; the file's weights count where one is stated. Ruled out: weights always on, which would let the platform's list decide against its settings.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -115,6 +115,7 @@
   depth     = 16
   worker "w" {
     address = "127.0.0.1:1"
+    weight  = 2
   }
 }
 `)
@@ -125,6 +126,9 @@
 		t.Error(diff)
 	}
 	s, _, _ := c.Terms()
+	if !s.Weights {
+		t.Error("the worker's weight has no effect")
+	}
 	want := []policy.Class{{Aim: 100e3, Deadline: 400e3, Window: 900e3, Worth: 1, Repeat: policy.Keyed, Group: policy.GroupCell}}
 	if diff := cmp.Diff(want, s.Classes); diff != "" {
 		t.Error(diff)
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -265,6 +265,7 @@
 		}
 		seen[w.ID] = true
 		names.Zones = with(names.Zones, w.Zone)
+		c.terms.set.Weights = c.terms.set.Weights || w.Weight != 0
 		c.Known.Instances = append(c.Known.Instances, w.instance())
 	}
 	c.terms.set.Zone = max(slices.Index(names.Zones, f.Zone), 0)
--- a/internal/openapi/front.go
+++ b/internal/openapi/front.go
@@ -192,6 +192,11 @@
 	case op == nil:
 		return nil, &Refusal{404, "", "the description has no such path"}
 	}
+	for _, name := range [...]string{f.config.CustomerHead, f.config.DeadlineHead, keyHeader} {
+		if name != "" && m.Count(name) > 1 { // it could mean one thing here and another at a worker
+			return nil, &Refusal{400, "", name + " stands twice"}
+		}
+	}
 	customer := string(m.Get(f.config.CustomerHead))
 	if customer == "" {
 		return nil, &Refusal{401, "", f.config.CustomerHead + " is missing"}
--- a/internal/openapi/openapi_test.go
+++ b/internal/openapi/openapi_test.go
@@ -313,11 +313,14 @@
 		heads          []string
 		want           int
 	}{
-		"no path":     {"GET", "/v1/nada", []string{"X-Banco: sur"}, 404},
-		"no method":   {"PUT", "/v1/cuota/1", []string{"X-Banco: sur"}, 405},
-		"no customer": {"GET", "/v1/cuota/1", nil, 401},
-		"no key":      {"POST", "/v1/simulacion", []string{"X-Banco: sur"}, 400},
-		"no deadline": {"GET", "/v1/cuota/1", []string{"X-Banco: sur", "X-Deadline: soon"}, 400},
+		"no path":       {"GET", "/v1/nada", []string{"X-Banco: sur"}, 404},
+		"no method":     {"PUT", "/v1/cuota/1", []string{"X-Banco: sur"}, 405},
+		"no customer":   {"GET", "/v1/cuota/1", nil, 401},
+		"no key":        {"POST", "/v1/simulacion", []string{"X-Banco: sur"}, 400},
+		"two customers": {"GET", "/v1/cuota/1", []string{"X-Banco: sur", "X-Banco: norte"}, 400},
+		"two keys":      {"POST", "/v1/simulacion", []string{"X-Banco: sur", "Idempotency-Key: a", "Idempotency-Key: b"}, 400},
+		"two deadlines": {"GET", "/v1/cuota/1", []string{"X-Banco: sur", "X-Deadline: 5", "X-Deadline: 9"}, 400},
+		"no deadline":   {"GET", "/v1/cuota/1", []string{"X-Banco: sur", "X-Deadline: soon"}, 400},
 	} {
 		if _, refusal := f.Request(message(t, c.method, c.target, c.heads...)); refusal == nil || refusal.Status != c.want {
 			t.Errorf("%s: %+v, want %d", name, refusal, c.want)
