Have the knee, early refusals and shutting off fail their tests when switched off

Found by switching mechanisms off: TestTheBoundStopsAtTheKnee stayed green without the knee, as other limits held the bound where it looked; refusing what would wait too long and shutting off for failures had no test at all. The first looks where the knee alone acts; the other two have tests now.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -193,8 +193,8 @@
 		}
 		return b.g.bound
 	}
-	flat := rise(func(int) Micros { return 50e3 })
-	steep := rise(func(n int) Micros { return 50e3 * Micros(max(n, 10)) / 10 })
+	flat := rise(func(int) Micros { return 20e3 })
+	steep := rise(func(n int) Micros { return 20e3 * Micros(max(n, 10)) / 10 })
 	if flat < 40 {
 		t.Errorf("the bound is %.0f though latency never moved", flat)
 	}
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -352,3 +352,51 @@
 		})
 	}
 }
+
+// TestWhatWouldWaitTooLongIsRefusedAtOnce: by what the workers get done, not at the end of
+// the wait; and it is told when to come back.
+func TestWhatWouldWaitTooLongIsRefusedAtOnce(t *testing.T) {
+	b := newBench(settings(), 4)
+	b.g.bound, b.g.doneRate = 1, 4
+	b.g.classes[0].lat, b.g.classes[1].lat, b.g.classes[2].lat = 250e3, 250e3, 250e3
+	for i := range 2 { // one is out, one is held for a quarter of a second
+		if _, no := b.r.refused[b.request(0, 0, uint64(i))]; no {
+			t.Fatalf("request %d was refused though it can be served", i)
+		}
+	}
+	if after, no := b.r.refused[b.request(0, 0, 9)]; !no || after <= 0 {
+		t.Errorf("refused %v, to come back after %d us", no, after)
+	}
+}
+
+// TestAServerThatFailsIsShutOff: where its connections are refused, nothing but a trial now
+// and then goes there, though it looks idle beside the others.
+func TestAServerThatFailsIsShutOff(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Burst = 1e6, 1e6
+	b := newBench(s, 4)
+	b.g.bound = 40
+	refused := 0
+	var out []sentTo
+	for step := range 1200 { // 12 s
+		b.at += 10e3
+		b.request(0, 0, uint64(step))
+		for ; b.seen < len(b.r.sent); b.seen++ {
+			x := b.r.sent[b.seen]
+			if x.to != 1 {
+				out = append(out, x)
+				continue
+			}
+			refused++
+			b.g.Outcome(b.at, b.r, Outcome{ID: x.id, Attempt: len(b.g.reqs[x.id].attempts) - 1, Status: ConnectFailed, Latency: 1e3, Server: 1})
+		}
+		if len(out) > 15 { // the others have five each
+			x := out[0]
+			out = out[1:]
+			b.g.Outcome(b.at, b.r, Outcome{ID: x.id, Attempt: len(b.g.reqs[x.id].attempts) - 1, Status: OK, Terminal: true, Latency: 150e3, Server: x.to})
+		}
+	}
+	if refused > 8 {
+		t.Errorf("%d attempts in 12 s went to a server that refuses them", refused)
+	}
+}
