--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -370,3 +370,45 @@
 		}
 	}
 }
+
+// TestTheFirstSecondsOfACounterThatIsBack: under a flood of a hundred tries a second at a
+// quota of ten, the slices hold while the counter is silent; when it is back, calls are
+// made again within seconds, and no more is let through than the quota, whether it still
+// has its numbers or comes back empty.
+func TestTheFirstSecondsOfACounterThatIsBack(t *testing.T) {
+	for _, empty := range []bool{false, true} {
+		f := newFleet(t, settings(), 2, 20)
+		second := func() int {
+			before := f.all
+			for k := range 100 {
+				f.try(k%3/2, 0, 5, 2e6)
+				f.pass(10e3)
+			}
+			return f.all - before
+		}
+		for range 10 {
+			second()
+		}
+		f.down = true
+		silent := 0
+		for range 10 {
+			silent += second()
+		}
+		if f.down = false; empty {
+			clear(f.totals)
+		}
+		var back []int
+		sum := 0
+		for range 5 {
+			back = append(back, second())
+			sum += back[len(back)-1]
+		}
+		t.Logf("empty %v: %d in ten silent seconds, then %v; %.2f and %.2f of the calls are made", empty, silent, back, f.gws[0].calls, f.gws[1].calls)
+		if silent > 115 || sum > 65 || sum < 35 {
+			t.Errorf("empty %v: %d were let through while it was silent, %v when it was back, where 10 a second are right", empty, silent, back)
+		}
+		if f.gws[0].calls < 0.9 || f.gws[1].calls < 0.9 {
+			t.Errorf("empty %v: after five seconds %.2f and %.2f of the calls are made", empty, f.gws[0].calls, f.gws[1].calls)
+		}
+	}
+}
