Judge what workers bear by their answers, not by what was sent to them

Seen by playing the first seconds at other loads: where all workers died under full load and came back cold, up to 0.97 of a cold worker's budget was used, though half is what is meant. Line at fault: coldRoom went by sends, old and remembered ones; while connections are refused every request is sent three times at once, so dead workers seemed to bear three times as much.

Old gateways' timers no longer ring for the new one in that test's stand-in. Ruled out: a smaller safety, which would starve single cold workers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -834,7 +834,7 @@
 	for len(s.coldSends) > 0 && g.now-s.coldSends[0] > g.set.FallWindow {
 		s.coldSends = s.coldSends[1:]
 	}
-	bears := max(g.warmLoad, g.sendRate/float64(g.subset()), 1e6/g.typical()/float64(max(g.set.Gateways, 1)))
+	bears := max(g.warmLoad, 1e6/g.typical()/float64(max(g.set.Gateways, 1)))
 	allow := coldSafety * g.set.FallMultiple * g.warmth(s) * bears * float64(g.set.FallWindow) / 1e6
 	return float64(len(s.coldSends)) < g.byTurns(allow, max(g.set.FallWindow, step), mix(uint64(s.id), 0))
 }
@@ -1008,7 +1008,7 @@
 		g.doneRate += (float64(g.dones)/secs - g.doneRate) * 0.3
 		g.sendRate += (float64(g.sends)/secs - g.sendRate) * 0.2
 		g.dones, g.sends, g.lastRate = 0, 0, g.now
-		g.warmLoad = max(g.sendRate/float64(g.subset()), g.warmLoad*math.Exp2(-secs/warmForget))
+		g.warmLoad = max(g.doneRate/float64(g.subset()), g.warmLoad*math.Exp2(-secs/warmForget))
 	}
 	g.watch()
 	g.dispatch()
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -325,12 +325,12 @@
 		sends := 0
 		for i, g := range f.gws {
 			s := &server{id: 99, e: Entry{Server: 99, State: Ready, ReadyAt: f.at}}
-			for g.now, g.sendRate = f.at, 5; g.coldRoom(s) && len(s.coldSends) < 10; sends++ {
+			for g.now, g.warmLoad = f.at, 5.0/6; g.coldRoom(s) && len(s.coldSends) < 10; sends++ {
 				s.coldSends = append(s.coldSends, f.at)
 				cold[i] = true
 			}
 		}
-		// five sends a second over a subset of six, all 300 gateways having it in theirs
+		// five answers a second over a subset of six, all 300 gateways having it in theirs
 		budget := f.set.FallMultiple * f.set.ColdShare * 300 * 5 / 6
 		if float64(sends) > budget || float64(sends) < budget/4 {
 			t.Fatalf("window %d: %d sends to a cold server that bears %.0f", w, sends, budget)
--- a/policy/state.go
+++ b/policy/state.go
@@ -145,7 +145,7 @@
 	stretch  float64 // answers' latency over their aim, smoothed
 	doneRate float64 // answers a second
 	sendRate float64
-	warmLoad float64 // sends a second that a server has borne of ours
+	warmLoad float64 // good answers a second that a server has given us
 	lastRate Micros
 	sends    int
 	dones    int
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -30,6 +30,7 @@
 	start Micros
 	free  Micros // when it is through with what it has
 	out   int
+	held  [2]int // of out, each gateway's: a dead one's links break
 	got   []Micros
 }
 
@@ -63,6 +64,10 @@
 func (y *yard) birth(i int) {
 	set := y.set
 	set.Self = i
+	for _, w := range y.workers {
+		w.out -= w.held[i]
+		w.held[i] = 0
+	}
 	y.gws[i], y.hosts[i] = New(set, uint64(y.at)+uint64(i)), &yardHost{y, i}
 	y.gws[i].Start(y.at, y.hosts[i])
 	y.list(i)
@@ -97,15 +102,20 @@
 }
 
 func (h *yardHost) Send(id uint32, to Server, _ Micros) {
-	y, g := h.y, h.y.gws[h.i]
+	y := h.y
+	g := y.gws[h.i]
 	w, n, sent := y.workers[to-1], len(g.reqs[id].attempts)-1, y.at
 	if y.at > y.arrived[id]+yardAim {
 		y.overdue++
 	}
 	end := func(after Micros, st Status) {
 		y.after(after, func() {
+			if y.hosts[h.i] != h { // its gateway has died
+				return
+			}
 			if st == OK {
 				w.out--
+				w.held[h.i]--
 				if y.at <= y.arrived[id]+yardAim {
 					y.served++
 				}
@@ -128,6 +138,7 @@
 		return
 	}
 	w.out++
+	w.held[h.i]++
 	w.free = max(w.free, y.at) + Micros(1e6/y.can(w))
 	end(max(w.free-y.at, yardWork), OK)
 }
@@ -136,7 +147,11 @@
 func (h *yardHost) Cancel(uint32, int)    {}
 func (h *yardHost) Timer(token uint64, after Micros) {
 	g := h.y.gws[h.i]
-	h.y.after(after, func() { g.Timer(h.y.at, h, token) })
+	h.y.after(after, func() {
+		if h.y.hosts[h.i] == h {
+			g.Timer(h.y.at, h, token)
+		}
+	})
 }
 func (h *yardHost) Count(uint64, float64, Micros) {}
 
@@ -163,9 +178,9 @@
 }
 
 // TestTheFirstSecondsAfterTrouble: what queue, bound and cold budgets do over the five
-// seconds after workers come back, at 45% of what the warm fleet can do.
+// seconds after workers come back, at 45% of what the warm fleet can do, or all of it.
 func TestTheFirstSecondsAfterTrouble(t *testing.T) {
-	const rate = 120
+	const usual = 120
 	down := func(ws []*yardWorker) {
 		for _, w := range ws {
 			w.up = false
@@ -177,17 +192,18 @@
 		}
 	}
 	for name, c := range map[string]struct {
-		trouble func(y *yard)
+		rate    int
+		trouble func(y *yard, rate int)
 		least   [5]int // served in time, by second
 	}{
-		"one returns cold": {func(y *yard) {
+		"one returns cold": {usual, func(y *yard, rate int) {
 			down(y.workers[:1])
 			y.tell()
 			y.run(5e6, rate)
 			back(y, y.workers[:1], y.at)
 			y.tell()
 		}, [5]int{110, 110, 110, 110, 110}},
-		"all return cold": {func(y *yard) {
+		"all return cold": {usual, func(y *yard, rate int) {
 			down(y.workers)
 			y.run(3e6, rate)
 			y.tell()
@@ -195,28 +211,39 @@
 			back(y, y.workers, y.at)
 			y.tell()
 		}, [5]int{0, 10, 25, 30, 60}},
-		"all return cold to gateways just born": {func(y *yard) {
+		"all return cold to gateways just born": {usual, func(y *yard, _ int) {
 			back(y, y.workers, y.at)
 			y.birth(0)
 			y.birth(1)
 		}, [5]int{10, 10, 10, 10, 10}},
-		"all return as they were": {func(y *yard) {
+		"all return as they were": {usual, func(y *yard, rate int) {
 			down(y.workers)
 			y.run(12e6, rate)
 			back(y, y.workers, 0)
 		}, [5]int{60, 110, 110, 110, 110}},
+		// what was sent to dead workers, three times each, is not what they bore
+		"all return cold under full load": {250, func(y *yard, rate int) {
+			down(y.workers)
+			y.run(1e6, rate)
+			y.tell()
+			y.run(4e6, rate)
+			back(y, y.workers, y.at)
+			y.tell()
+			y.run(300e3, rate)
+			y.birth(0)
+		}, [5]int{0, 0, 20, 30, 40}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			y := newYard()
-			if n := y.run(10e6, rate); n < 9*rate {
-				t.Fatalf("%d of %d were served before", n, 10*rate)
+			if n := y.run(10e6, c.rate); n < 9*usual {
+				t.Fatalf("%d of %d were served before", n, 10*c.rate)
 			}
-			c.trouble(y)
+			c.trouble(y, c.rate)
 			y.overdue, y.flooded = 0, 0
 			var got [5]int
 			var bounds []float64
 			for k := range got {
-				got[k] = y.run(1e6, rate)
+				got[k] = y.run(1e6, c.rate)
 				bounds = append(bounds, y.gws[0].bound)
 			}
 			t.Logf("served in time by second %v, bound %.1f, cold budget used at most %.2f, sent too late %d", got, bounds, y.flooded, y.overdue)
@@ -225,8 +252,8 @@
 					t.Errorf("second %d: %d served in time, want %d", k+1, n, c.least[k])
 				}
 			}
-			if y.flooded > 1 {
-				t.Errorf("a cold worker was sent %.2f of what it bears", y.flooded)
+			if y.flooded > 0.75 { // half of it, and what rounding to whole requests adds
+				t.Errorf("a cold worker was sent %.2f of the most it may be", y.flooded)
 			}
 			if y.overdue > 0 {
 				t.Errorf("%d were sent that were too late already", y.overdue)
