--- a/policy/policy.go
+++ b/policy/policy.go
@@ -221,10 +221,6 @@
 	q.drawing = false
 	switch {
 	case q.done: // the client left meanwhile
-	case st == Reset && !q.asked && g.mayCall(q): // its link broke: the next may not
-		q.asked = true
-		g.await(q)
-		g.call(c, q)
 	case st != OK:
 		if !g.thin(c) || !g.unknown(q) {
 			g.police(q)
@@ -767,7 +763,7 @@
 
 // perServer is a number for each server, as our part of the fleet.
 func (g *Gateway) perServer(n float64) float64 {
-	return n * float64(max(len(g.servers), 1)) / float64(max(g.set.Gateways, 1))
+	return n * float64(max(g.listed, 1)) / float64(max(g.set.Gateways, 1))
 }
 
 // ---- servers ----
@@ -911,7 +907,11 @@
 	if kind != ListFailed {
 		g.mergeList(kind, entries)
 	}
+	g.listed = 0
 	for _, s := range g.servers { // rendezvous hashing: each gateway has an order of its own
+		if s.listed { // what is out at one that is gone makes the fleet no larger
+			g.listed++
+		}
 		h := mix(uint64(s.id), uint64(g.set.Self)+1)
 		s.place = -math.Log(float64(h>>11+1)/(1<<53)) * g.dear(s)
 	}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -89,7 +89,7 @@
 	Attempts                   []AttemptRecord
 	Open                       int
 	Sent, Done, Held           bool
-	Drawing, Asked, Admitted   bool
+	Drawing, Admitted          bool
 	Uncertain                  bool
 	RanOn                      int // server, -1 where none
 	RanAt                      Micros
@@ -250,7 +250,7 @@
 func (g *Gateway) requestRecord(q *request, classes *index[*classState], clients *index[*customer], servers *index[*server]) RequestRecord {
 	r := RequestRecord{ID: q.id, Class: classes.of(q.class), Plan: q.plan.index, Client: clients.of(q.cust), Units: q.units, Level: q.level,
 		Arrived: q.arrived, Deadline: q.deadline, Halfway: q.halfway, Open: q.open, Sent: q.sent, Done: q.done, Held: q.held,
-		Drawing: q.drawing, Asked: q.asked, Admitted: q.admitted, Uncertain: q.uncertain, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken}
+		Drawing: q.drawing, Admitted: q.admitted, Uncertain: q.uncertain, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken}
 	if q.ranOn != nil {
 		r.RanOn = servers.of(q.ranOn)
 	}
@@ -346,6 +346,9 @@
 	}
 	for _, i := range s.Order {
 		g.servers = append(g.servers, servers[i])
+		if servers[i].listed {
+			g.listed++
+		}
 		if s := servers[i]; s.listed || g.byID[s.id] == nil { // not an old life in the place of the new
 			g.byID[s.id] = s
 		}
@@ -389,7 +392,7 @@
 func (g *Gateway) restoreRequest(r *RequestRecord, classes []*classState, clients []*customer, servers []*server) *request {
 	q := &request{id: r.ID, class: classes[r.Class], plan: &g.plans[r.Plan], cust: clients[r.Client], units: r.Units, level: r.Level,
 		arrived: r.Arrived, deadline: r.Deadline, halfway: r.Halfway, open: r.Open, sent: r.Sent, done: r.Done, held: r.Held,
-		drawing: r.Drawing, asked: r.Asked, admitted: r.Admitted, uncertain: r.Uncertain, ranAt: r.RanAt, tokensTaken: r.Taken}
+		drawing: r.Drawing, admitted: r.Admitted, uncertain: r.Uncertain, ranAt: r.RanAt, tokensTaken: r.Taken}
 	if r.RanOn >= 0 {
 		q.ranOn = servers[r.RanOn]
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,7 +18,6 @@
 	sent, done  bool // a first attempt was made; the final answer is given
 	held        bool
 	drawing     bool // the counter is asked for its units
-	asked       bool // again
 	admitted    bool
 	uncertain   bool // an attempt may have run
 	ranOn       *server
@@ -132,6 +131,7 @@
 	wheelAt   int64
 	servers   []*server
 	byID      map[Server]*server
+	listed    int // servers
 
 	inFlight int
 	stuck    int    // of them, on servers that are silent
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -427,3 +427,22 @@
 		t.Errorf("%d attempts in 12 s went to a server that refuses them", refused)
 	}
 }
+
+// TestOldLivesMakeTheFleetNoLarger: while attempts are out at the processes that were, the
+// bound is for those that are.
+func TestOldLivesMakeTheFleetNoLarger(t *testing.T) {
+	b := newBench(settings(), 8)
+	b.g.bound = 20
+	for i := range 16 {
+		b.request(0, 0, uint64(i))
+	}
+	var es []Entry
+	for i := range 8 {
+		es = append(es, Entry{Server: Server(i + 1), State: Ready, ReadyAt: b.at})
+	}
+	b.g.bound = 1
+	b.g.Servers(b.at, b.r, FullList, es)
+	if b.g.bound != leastPerServer*8/2 {
+		t.Errorf("the bound of 8 workers is %.1f at the least", b.g.bound)
+	}
+}
