Count no draining worker as one to fall back on where all others are shut off

Line at fault: eject asked whether others are listed, not whether they take work. Both it and pick ask the record now.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -815,7 +815,7 @@
 		return
 	}
 	s.ejectedFor = min(max(2*s.ejectedFor, ejectFirst), ejectMost)
-	if !slices.ContainsFunc(g.servers, func(o *server) bool { return o != s && o.listed && !o.ejected }) {
+	if !slices.ContainsFunc(g.servers, func(o *server) bool { return o != s && o.takes() && !o.ejected }) {
 		s.ejectedFor = ejectFirst
 	}
 	s.ejected, s.trial = true, false
@@ -847,7 +847,7 @@
 	k := g.subset()
 	for n := 0; n < len(g.servers) && k > 0; n++ {
 		s := g.servers[n]
-		if s.e.State != Ready || !s.listed || g.now < s.fullUntil {
+		if !s.takes() || g.now < s.fullUntil {
 			continue
 		}
 		if s.ejected && (g.now < s.retryAt || q.class.Repeat == Unsafe) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,6 +56,9 @@
 	coldSends  []Micros
 }
 
+// takes tells whether the list has a server take new work.
+func (s *server) takes() bool { return s.listed && s.e.State == Ready }
+
 type classState struct {
 	Class
 	units   float64 // average units of its answered requests
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -446,3 +446,19 @@
 		t.Errorf("the bound of 8 workers is %.1f at the least", b.g.bound)
 	}
 }
+
+// TestADrainingWorkerIsNoneToFallBackOn: where the only one that takes work is shut off, the
+// one that drains does not make its trouble its own.
+func TestADrainingWorkerIsNoneToFallBackOn(t *testing.T) {
+	b := newBench(settings(), 2)
+	b.g.Servers(b.at, b.r, Delta, []Entry{{Server: 1, State: Draining}})
+	s := b.g.byID[2]
+	for range 6 {
+		b.at += ejectMost
+		b.g.now = b.at
+		b.g.eject(s)
+	}
+	if s.ejectedFor != ejectFirst {
+		t.Errorf("the last worker is shut off for %d ms", s.ejectedFor/milli)
+	}
+}
