Open the operators' door, count what happens, and take new classes at SIGHUP

Cause: a faulty file at SIGHUP was taken, since only its addresses were looked at, and the watch moved to where nothing listens; new classes were answered 400. Ruled out: a slow watch (it moves within 20 ms where the file is good).

The door has a listener, bounded callers and timeouts of its own and reads copies that the loop publishes. A file at SIGHUP is refused that lacks a key which the one in force has, or states terms that can't be served by. The table of classes is swapped once on the loop; a class keeps its place, requests keep theirs, and dropped names are taken for 2 s more, since clients learn of the change 1.2 s later.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -64,6 +64,7 @@
 
 	id       uint32
 	deadline float64
+	tally    Tally // of its class, nil where nobody counts
 	execs    []*Execution
 	open     int // executions without an outcome
 	over     bool
@@ -79,6 +80,28 @@
 	n     int
 	began float64
 	ended bool
+	wrote bool // whole, to the worker
+}
+
+// End is how a request ended for its client.
+type End int
+
+// The ends.
+const (
+	Completed End = iota // served
+	Rejected             // refused
+	Failed
+)
+
+// Tally counts the ends of one class's requests.
+type Tally interface{ Ended(how End) }
+
+// Meter counts what a gatekeeper does.
+type Meter interface {
+	// Class is the tally of a class in force, nil where it is not counted.
+	Class(class int) Tally
+	// Wrote counts an attempt that was written whole to a worker.
+	Wrote()
 }
 
 // Outcome is how an execution ended.
@@ -119,6 +142,7 @@
 	patience float64 // of counter calls
 	classes  []policy.Class
 	recorder Recorder
+	meter    Meter
 	deciding bool
 	waiting  []func()               // events that came while a decision was being made
 	known    map[policy.Server]bool // the listed workers, and whether they take work
@@ -134,6 +158,8 @@
 	Wake     func(at float64) // asks for a call of Advance at a time
 	// Recorder, where set, is told all that enters and leaves the decision module.
 	Recorder Recorder
+	// Meter, where set, counts requests and attempts.
+	Meter Meter
 	// Earlier, where set, is what an earlier life of this gatekeeper knew at its end.
 	Earlier *Earlier
 }
@@ -149,7 +175,7 @@
 	g := &Gatekeeper{
 		clock: c.Clock, decide: module(c), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
 		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{}, counts: map[uint64][]*Count{},
-		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes, recorder: c.Recorder,
+		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes, recorder: c.Recorder, meter: c.Meter,
 	}
 	if g.patience <= 0 {
 		g.patience = 50
@@ -211,6 +237,9 @@
 		}
 		g.names[r.Name] = true
 	}
+	if g.meter != nil {
+		r.tally = g.meter.Class(r.Class)
+	}
 	r.deadline = g.clock.Now() + r.Left
 	g.lastID++
 	for g.requests[g.lastID] != nil {
@@ -260,11 +289,14 @@
 		return
 	}
 	x.ended = true
+	if o.Status != policy.ConnectFailed && o.Status != policy.Cancelled && o.Status != policy.Moot {
+		g.Wrote(x)
+	}
 	r := x.Request
 	served := o.Status == policy.OK
 	over := r.over || served
 	if served && !r.over {
-		g.finish(r)
+		g.end(r, Completed)
 		r.Caller.Served(r, o.Answer)
 	}
 	latency := micros(g.clock.Now() - x.began)
@@ -395,6 +427,24 @@
 	g.Done(x, Outcome{Status: st})
 }
 
+// Wrote tells that the last byte of an execution has left for its worker. Links that can't
+// see that need not call it: an outcome tells so too.
+func (g *Gatekeeper) Wrote(x *Execution) {
+	if x.wrote || g.meter == nil {
+		return
+	}
+	x.wrote = true
+	g.meter.Wrote()
+}
+
+// end is the one place where a request gets its final answer.
+func (g *Gatekeeper) end(r *Request, how End) {
+	if r.tally != nil {
+		r.tally.Ended(how)
+	}
+	g.finish(r)
+}
+
 func (g *Gatekeeper) finish(r *Request) {
 	r.over = true
 	delete(g.names, r.Name)
@@ -428,7 +478,7 @@
 // Refuse implements policy.Host.
 func (g *Gatekeeper) Refuse(id uint32, retryAfter policy.Micros) {
 	if r := g.requests[id]; r != nil && !r.over {
-		g.finish(r)
+		g.end(r, Rejected)
 		r.Caller.Throttled(r, millis(retryAfter))
 	}
 }
@@ -436,7 +486,7 @@
 // Fail implements policy.Host.
 func (g *Gatekeeper) Fail(id uint32) {
 	if r := g.requests[id]; r != nil && !r.over {
-		g.finish(r)
+		g.end(r, Failed)
 		r.Caller.Failed(r)
 	}
 }
@@ -448,7 +498,9 @@
 		return
 	}
 	x := r.execs[attempt]
-	g.fleet.Abandon(x)
+	if g.fleet.Abandon(x) {
+		g.Wrote(x)
+	}
 	g.Done(x, Outcome{Status: policy.Cancelled})
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -28,13 +30,15 @@
 
 // Config is a gatekeeper's configuration.
 type Config struct {
-	Name      string        `json:"name"`
-	Listen    string        `json:"listen"`
-	Discovery string        `json:"discovery"`
-	Seed      string        `json:"seed"` // 64 bits in hexadecimal digits; drawn anew where empty
-	Limits    Limits        `json:"limits"`
-	Counter   string        `json:"counter"`
-	Known     platform.List `json:"known"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"` // 64 bits in hexadecimal digits; drawn anew where empty
+	Limits    Limits `json:"limits"`
+	Counter   string `json:"counter"`
+	// Control is the address of the operators' door; there is none if empty.
+	Control string        `json:"control"`
+	Known   platform.List `json:"known"`
 	// Settings is the settings object as the simulator gives it. An HCL file states
 	// the same in blocks, and leaves it empty.
 	Settings json.RawMessage `json:"settings"`
@@ -51,6 +55,7 @@
 	Capture *Capture `json:"-"`
 
 	terms *terms // of an HCL file
+	keys  keys   // of a JSON file
 }
 
 // Capture is how captures are kept.
@@ -105,9 +110,66 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		return c, fmt.Errorf("configuration: %s: %w", place(file, text, err), err)
 	}
+	var any any
+	_ = json.Unmarshal(text, &any) // it has just been read
+	c.keys = keysOf(any)
 	return c, nil
 }
 
+// Replaces refuses a file in the place of the one in force that lacks what that has: it
+// was cut short or written by hand in haste, and half of it must not take effect.
+func (c *Config) Replaces(inForce *Config) error {
+	if lacks := inForce.keys.without(c.keys, ""); len(lacks) > 0 {
+		return fmt.Errorf("configuration: the file in force has %s, the new one does not", strings.Join(lacks, ", "))
+	}
+	return nil
+}
+
+// keys is the shape of a JSON text: the keys of an object, each with the shape behind it.
+// Behind a list's key stands what all its elements have in common.
+type keys map[string]keys
+
+// optional keys may go: the platform's page says that they may be absent, or an operator
+// sets a part up by them.
+var optional = map[string]bool{"aim-stretch": true, "known": true, "control": true, "openapi": true, "xds": true, "seed": true}
+
+func keysOf(v any) keys {
+	switch v := v.(type) {
+	case map[string]any:
+		k := keys{}
+		for name, in := range v {
+			k[name] = keysOf(in)
+		}
+		return k
+	case []any:
+		var common keys
+		for i, in := range v {
+			k := keysOf(in)
+			if i == 0 {
+				common = k
+			}
+			maps.DeleteFunc(common, func(name string, _ keys) bool { _, ok := k[name]; return !ok })
+		}
+		return common
+	}
+	return nil
+}
+
+// without lists the paths of the keys that other lacks.
+func (k keys) without(other keys, path string) (lacks []string) {
+	for _, name := range slices.Sorted(maps.Keys(k)) {
+		in, ok := other[name]
+		switch {
+		case optional[name]:
+		case !ok:
+			lacks = append(lacks, path+name)
+		default:
+			lacks = append(lacks, k[name].without(in, path+name+".")...)
+		}
+	}
+	return lacks
+}
+
 // place names the line of a JSON text that an error is about, as far as it tells.
 func place(file string, text []byte, err error) string {
 	var syntax *json.SyntaxError
@@ -129,7 +191,7 @@
 	if counts && c.Counter == "" {
 		return errors.New("configuration: the settings allow a counter, but none is named")
 	}
-	for _, other := range [...]struct{ name, addr string }{{"counter", c.Counter}, {"discovery", c.Discovery}} {
+	for _, other := range [...]struct{ name, addr string }{{"counter", c.Counter}, {"discovery", c.Discovery}, {"control", c.Control}} {
 		if other.addr == "" {
 			continue
 		}
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -24,7 +24,8 @@
 	Discovery string          `hcl:"discovery,optional"`
 	Counter   *counterBlock   `hcl:"counter,block"`
 	XDS       string          `hcl:"xds,optional"`
-	Zone      string          `hcl:"zone,optional"` // the gatekeeper's own
+	Control   string          `hcl:"control,optional"` // the operators' door
+	Zone      string          `hcl:"zone,optional"`    // the gatekeeper's own
 	Limits    *Limits         `hcl:"limits,block"`
 	OpenAPI   *openapi.Config `hcl:"openapi,block"`
 	Siblings  *siblingsBlock  `hcl:"gatekeepers,block"`
@@ -140,7 +141,7 @@
 	if len(bad.list) > 0 {
 		return Config{}, errors.Join(bad.list...)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Seed: f.Seed, Discovery: f.Discovery, XDS: f.XDS, OpenAPI: f.OpenAPI, Capture: f.Capture}
+	c := Config{Name: f.Name, Listen: f.Listen, Seed: f.Seed, Discovery: f.Discovery, XDS: f.XDS, Control: f.Control, OpenAPI: f.OpenAPI, Capture: f.Capture}
 	if f.Limits != nil {
 		c.Limits = *f.Limits
 	}
--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -12,10 +12,10 @@
 	countersMost = 8  // of the 32 that the counter keeps
 )
 
-// NewBudget divides a limit: a third of what is left after the reserve goes to
-// server links, whose number the module's bound keeps far lower, the rest to
-// clients.
-func NewBudget(limit int) *Budget {
-	left := max(limit-reserve-2*openingsMost-countersMost, 16)
+// NewBudget divides a limit, of which so many are set aside for parts beside the loop: a
+// third of what is left after the reserve goes to server links, whose number the module's
+// bound keeps far lower, the rest to clients.
+func NewBudget(limit, aside int) *Budget {
+	left := max(limit-aside-reserve-2*openingsMost-countersMost, 16)
 	return &Budget{Servers: left / 3, Clients: left - left/3, Counters: countersMost}
 }
--- a/internal/link/cutoff_test.go
+++ b/internal/link/cutoff_test.go
@@ -21,7 +21,7 @@
 				t.Fatal(err)
 			}
 			defer ln.Close()
-			loop, err := NewLoop(NewBudget(1024))
+			loop, err := NewLoop(NewBudget(1024, 0))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -98,6 +98,8 @@
 type Core interface {
 	// Done ends an execution.
 	Done(x *gatekeeper.Execution, o gatekeeper.Outcome)
+	// Wrote tells that the last byte of an execution has left.
+	Wrote(x *gatekeeper.Execution)
 	// Class is the terms of a class.
 	Class(class int) policy.Class
 }
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -176,6 +176,11 @@
 	})
 }
 
+// After calls do on the loop once so much time is over.
+func (l *Loop) After(wait time.Duration, do func()) {
+	l.after(float64(wait)/float64(time.Millisecond), do)
+}
+
 // Every calls do on the loop again and again.
 func (l *Loop) Every(pace time.Duration, do func()) {
 	time.AfterFunc(pace, func() {
--- a/internal/link/loop_test.go
+++ b/internal/link/loop_test.go
@@ -28,7 +28,7 @@
 // TestRunningOutOfDescriptorsIsSurvived guards against gnet's own listener, whose
 // engine ends when accept fails, and every request with it.
 func TestRunningOutOfDescriptorsIsSurvived(t *testing.T) {
-	loop, err := NewLoop(NewBudget(200))
+	loop, err := NewLoop(NewBudget(200, 0))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +63,7 @@
 
 func TestTheBudgetLeavesRoom(t *testing.T) {
 	for _, limit := range []int{64, 256, 1024, 20000} {
-		b := NewBudget(limit)
+		b := NewBudget(limit, 0)
 		if b.Clients < 1 || b.Servers < 1 {
 			t.Errorf("limit %d: %+v", limit, b)
 		}
--- a/internal/link/model_test.go
+++ b/internal/link/model_test.go
@@ -66,6 +66,8 @@
 func (w *world) shut(c gnet.Conn) { c.(*fakeConn).close() }
 
 // Done implements Core.
+func (w *world) Wrote(*gatekeeper.Execution) {}
+
 func (w *world) Done(x *gatekeeper.Execution, o gatekeeper.Outcome) {
 	o.Answer.Body = bytes.Clone(o.Answer.Body)
 	w.ends[x] = append(w.ends[x], o)
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -254,6 +254,9 @@
 	l.writing = true
 	_, _ = l.c.Write(out) // a failed write closes the link
 	l.writing = false
+	if !l.dead && l.x == x && l.c.OutboundBuffered() == 0 {
+		l.fleet.core.Wrote(x)
+	}
 }
 
 // message appends an execution as an HTTP/1.1 request. A turn is stated in the header
--- a/internal/openapi/front.go
+++ b/internal/openapi/front.go
@@ -106,6 +106,17 @@
 	return classes
 }
 
+// Names is how the classes of that table are called, as far as they are in force.
+func (f *Front) Names() []string {
+	names := make([]string, len(f.table))
+	for i := range f.table {
+		if f.table[i].used {
+			names[i] = f.table[i].name
+		}
+	}
+	return names
+}
+
 // Replace puts a new description in force. It has been parsed whole, so it takes
 // effect whole.
 func (f *Front) Replace(d *Description) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -50,6 +50,12 @@
 	return &Front{settings: s, names: n, ready: ready}
 }
 
+// Replace puts another table of classes in force, in the places that the core's has them.
+// Requests that were read before keep the terms they came with.
+func (f *Front) Replace(classes []policy.Class, names []string) {
+	f.settings.Classes, f.names.Classes = classes, names
+}
+
 // Handle implements link.Front.
 func (f *Front) Handle(l *link.Client, m *http1.Message) {
 	path, _, _ := bytes.Cut(m.Target, []byte{'?'})
@@ -99,7 +105,8 @@
 	if r.Name == "" {
 		return nil, fmt.Errorf("%s is missing", headTrace)
 	}
-	if r.Class = slices.Index(f.names.Classes, string(m.Get(headClass))); r.Class < 0 {
+	name := string(m.Get(headClass))
+	if r.Class = slices.Index(f.names.Classes, name); r.Class < 0 || name == "" {
 		return nil, fmt.Errorf("%s names no class", headClass)
 	}
 	if r.Plan = slices.Index(f.names.Plans, string(m.Get(headPlan))); r.Plan < 0 {
@@ -116,18 +123,19 @@
 	}
 	class := f.settings.Classes[r.Class]
 	r.Left = min(float64(left), float64(class.Deadline)/1000)
-	keyed, method := class.Repeat != policy.Safe, "GET"
-	if keyed {
-		method = "POST"
-	}
-	if string(m.Method) != method {
-		return nil, fmt.Errorf("the class wants method %s", method)
+	switch get := string(m.Method) == "GET"; {
+	case !get && string(m.Method) != "POST":
+		return nil, fmt.Errorf("neither GET nor POST")
+	case get && class.Repeat == policy.Keyed:
+		return nil, fmt.Errorf("the class wants method POST")
+	case !get && class.Repeat == policy.Safe:
+		return nil, fmt.Errorf("the class wants method GET")
 	}
-	if keyed && len(m.Get(headRepeat)) == 0 {
+	if class.Repeat == policy.Keyed && len(m.Get(headRepeat)) == 0 {
 		return nil, fmt.Errorf("%s is missing", headRepeat)
 	}
-	if !keyed && len(m.Body) > 0 {
-		return nil, fmt.Errorf("the class has no body")
+	if string(m.Method) == "GET" && len(m.Body) > 0 {
+		return nil, fmt.Errorf("GET has no body")
 	}
 	if err := f.terms(r, m.Get(headTerms)); err != nil {
 		return nil, err
--- a/internal/service/capture_test.go
+++ b/internal/service/capture_test.go
@@ -53,7 +53,7 @@
 		leaver.Close()
 		g.ask("simulacion", 1, 900)
 		g.setWorker(addr)
-		configured(t, `{}`)
+		configured(t, whole(`{"name":"n0"}`))
 		if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/service/meet_test.go
+++ b/internal/service/meet_test.go
@@ -69,9 +69,9 @@
 	}
 	beside.Go(func() {
 		for n := range reloads {
-			text := fmt.Sprintf(`{"counter":%q}`, counter)
+			text := whole(fmt.Sprintf(`{"counter":%q}`, counter))
 			if n%2 == 1 {
-				text = `{"counter":"nowhere"}`
+				text = whole(`{"counter":"nowhere"}`)
 			}
 			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 				t.Error(err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,16 +11,20 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"foxwood/capture"
 	"foxwood/gatekeeper"
+	"foxwood/internal/admin"
 	"foxwood/internal/config"
 	"foxwood/internal/link"
 	"foxwood/internal/openapi"
 	"foxwood/internal/platform"
 	"foxwood/internal/settings"
+	"foxwood/internal/stats"
 	"foxwood/internal/xds"
 	"foxwood/policy"
 )
@@ -28,12 +32,15 @@
 const (
 	sweepEvery   = 250 * time.Millisecond
 	handOffEvery = 200 * time.Millisecond
+	publishEvery = 150 * time.Millisecond
 	// lateArrivals is how long after SIGTERM requests may still come in.
 	lateArrivals = 800 * time.Millisecond
 	closeIdle    = 450 * time.Millisecond
 	drainLook    = 20 * time.Millisecond
 	counterPath  = "/v2/numbers"
 	gcPercent    = 100
+	// stillTaken is how long requests of a class that SIGHUP has dropped are taken.
+	stillTaken = 2 * time.Second
 	// restMost is the part of the workers' idle time that a server link may rest.
 	restMost = 0.5
 )
@@ -44,6 +51,7 @@
 func environ(c *config.Config) {
 	for name, field := range map[string]*string{
 		"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery,
+		"EDGE_CONTROL": &c.Control,
 	} {
 		if v := os.Getenv(name); v != "" {
 			*field = v
@@ -70,6 +78,16 @@
 	api     *openapi.Front  // nil on the platform
 	xds     *xds.Server     // nil unless configured
 	capture *capture.Writer // nil unless configured
+	door    *admin.Door     // nil unless configured
+	figures *stats.Figures  // nil without a door
+	serving atomic.Bool     // as the door tells it
+
+	// What SIGHUP replaces. They belong to the loop.
+	inForce  config.Config
+	set      policy.Settings
+	names    settings.Names
+	platform *platform.Front
+	retunes  int // tables of classes put in force at SIGHUP
 }
 
 // Run serves by a configuration file until SIGTERM, and then until what was taken is
@@ -97,9 +115,13 @@
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "workers", len(c.Known.Instances), "transport", c.Transport.Carrier)
 	go func() { // also while the gatekeeper drains: what it still serves needs the counter
 		for range again {
-			if err := s.reload(file); err != nil {
+			err := s.reload(file)
+			if err != nil {
 				slog.Error("configuration not replaced, the old one holds", "error", err)
 			}
+			if s.figures != nil {
+				s.loop.Post(func() { s.figures.Reloaded(err == nil) })
+			}
 		}
 	}()
 	slog.Info("draining", "name", c.Name, "signal", (<-stop).String())
@@ -112,6 +134,9 @@
 // stop ends the loop, and then what it has handed on.
 func (s *service) stop() error {
 	err := s.loop.Stop()
+	if s.door != nil {
+		_ = s.door.Close()
+	}
 	if s.capture != nil {
 		s.capture.Close()
 	}
@@ -132,11 +157,12 @@
 		seed = rand.Uint64()
 	}
 	clock := gatekeeper.NewClock()
-	s := &service{clock: clock, counts: set.Counter}
+	s := &service{clock: clock, counts: set.Counter, inForce: c}
 	if err := c.Check(s.counts); err != nil {
 		return nil, err
 	}
-	var f front = platform.NewFront(set, names, func() bool { return s.core.Ready() && !s.clients.Draining() })
+	s.platform = platform.NewFront(set, names, func() bool { return s.core.Ready() && !s.clients.Draining() })
+	var f front = s.platform
 	if c.OpenAPI != nil {
 		d, err := describe(c.OpenAPI.Description)
 		if err != nil {
@@ -145,9 +171,14 @@
 		if s.api, err = openapi.NewFront(*c.OpenAPI, d, set, names, clock); err != nil {
 			return nil, err
 		}
-		set.Classes, f = s.api.Classes(), s.api
+		set.Classes, names.Classes, f = s.api.Classes(), s.api.Names(), s.api
+	}
+	s.set, s.names = set, names
+	aside := 0
+	if c.Control != "" {
+		aside, s.figures = admin.Descriptors, stats.New(names.Classes)
 	}
-	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets))); err != nil {
+	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets), aside)); err != nil {
 		return nil, err
 	}
 	if c.XDS != "" {
@@ -177,6 +208,9 @@
 		if s.capture != nil {
 			made.Recorder = s.capture
 		}
+		if s.figures != nil {
+			made.Meter = s.figures
+		}
 		s.core = gatekeeper.New(made)
 		fleet.Attach(s.core)
 		s.counter.Attach(s.core)
@@ -197,16 +231,45 @@
 			s.watch.Sweep()
 		})
 		if s.xds != nil {
-			s.loop.Every(handOffEvery, func() { s.handOff(set, names) })
+			s.loop.Every(handOffEvery, s.handOff)
+		}
+		if s.figures != nil {
+			s.publish()
+			s.loop.Every(publishEvery, s.publish)
 		}
 		close(started)
 	})
 	<-started
+	if c.Control != "" {
+		if s.door, err = admin.Listen(c.Control, s); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
+// Serving implements admin.Source.
+func (s *service) Serving() bool { return s.serving.Load() }
+
+// Lines implements admin.Source.
+func (s *service) Lines() []byte { return s.figures.Lines() }
+
+// publish gives the door a copy of the figures of this moment.
+func (s *service) publish() {
+	s.serving.Store(s.core.Ready() && !s.clients.Draining())
+	standings, _ := s.core.Standings()
+	avoided := 0
+	for _, x := range standings {
+		if x.Shut || x.State != policy.Ready {
+			avoided++
+		}
+	}
+	s.figures.Publish(stats.Gauges{Pending: s.core.Open(), Members: len(standings), Unavailable: avoided})
+}
+
 // handOff tells other proxies what the module thinks at present.
-func (s *service) handOff(set policy.Settings, names settings.Names) {
+func (s *service) handOff() {
+	set, names := s.set, s.names
 	standings, bound := s.core.Standings()
 	st := xds.State{Bound: bound, Connect: time.Duration(names.ConnectMost) * time.Microsecond, Attempts: set.MaxAttempts}
 	for _, x := range standings {
@@ -239,13 +302,25 @@
 
 // reload reads the configuration file and the description again, and puts in force
 // what may change while the gatekeeper runs: the addresses of discovery and the
-// counter, and the description. With one fault all stays as it was.
+// counter, the classes with their terms, and the description. All of it is read and
+// checked before, and takes effect in one call on the loop; with one fault all stays as
+// it was.
 func (s *service) reload(file string) error {
 	c, err := config.Read(file)
 	if err != nil {
 		return err
 	}
-	if err := c.Check(s.counts); err != nil {
+	if err := c.Replaces(&s.inForce); err != nil { // only reload changes inForce once it runs
+		return err
+	}
+	set, names, err := c.Terms()
+	if err != nil {
+		return err
+	}
+	if s.api == nil {
+		err = settings.Check(set, names)
+	}
+	if err := errors.Join(err, c.Check(s.counts)); err != nil {
 		return err
 	}
 	var d *openapi.Description
@@ -260,6 +335,7 @@
 	done := make(chan struct{})
 	s.loop.Post(func() {
 		defer close(done)
+		s.inForce = c
 		if c.Discovery != "" {
 			s.watch.Move(c.Discovery)
 		}
@@ -267,15 +343,50 @@
 			s.counter.Move(c.Counter)
 		}
 		slog.Info("configuration replaced", "discovery", c.Discovery, "counter", c.Counter)
-		if d != nil {
+		switch {
+		case d != nil:
 			s.api.Replace(d)
 			slog.Info("description replaced", "operations", d.Operations())
+			s.names.Classes = s.api.Names()
+		default:
+			s.retune(set, names)
+		}
+		if s.figures != nil {
+			s.figures.Name(s.names.Classes)
 		}
 	})
 	<-done
 	return nil
 }
 
+// retune puts another table of classes in force. Requests under way keep the terms they
+// came with. A class that was dropped is taken for a while longer: its clients learn of
+// the change later than we do.
+func (s *service) retune(set policy.Settings, names settings.Names) {
+	settings.Place(&set, &names, s.set.Classes, s.names.Classes)
+	if slices.Equal(set.Classes, s.set.Classes) && slices.Equal(names.Classes, s.names.Classes) {
+		return
+	}
+	taken := slices.Clone(names.Classes)
+	for i, name := range s.names.Classes {
+		if taken[i] == "" {
+			taken[i] = name
+		}
+	}
+	s.set.Classes, s.names.Classes, s.set.MaxAttempts = set.Classes, names.Classes, set.MaxAttempts
+	s.core.SetClasses(set.Classes)
+	s.platform.Replace(set.Classes, taken)
+	s.retunes++
+	n := s.retunes
+	s.loop.After(stillTaken, func() {
+		if n == s.retunes { // no later table
+			s.platform.Replace(set.Classes, names.Classes)
+		}
+	})
+	slog.Info("classes replaced", "classes", slices.DeleteFunc(slices.Clone(names.Classes), func(name string) bool { return name == "" }),
+		"attempts", set.MaxAttempts)
+}
+
 // drain answers everything that still comes in while clients are told to go, and
 // returns once nothing can be owed any more.
 func (s *service) drain() {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -401,6 +401,9 @@
 	t.Setenv("EDGE_CONFIG", file)
 }
 
+// whole is a configuration's text with the settings in it.
+func whole(text string) string { return strings.Replace(text, "{", `{"settings":`+settingsText+`,`, 1) }
+
 // TestAReplacedConfigurationMovesTheWatch guards against staying with a discovery
 // that shuts down: the workers it no longer names would get requests on and on. A
 // file with a fault changes nothing, and the environment of the start no more.
@@ -425,13 +428,13 @@
 	if got := next(t, asked); got != "first from 7" {
 		t.Fatalf("asked the %s", got)
 	}
-	configured(t, `{"discovery":"`+second+`"}`)
+	configured(t, whole(`{"discovery":"`+second+`"}`))
 	for name, text := range map[string]string{
 		"cut short":              `{"discovery":"` + second + `"`,
 		"address without port":   `{"discovery":"127.0.0.1"}`,
 		"counter without a port": `{"discovery":"` + second + `","counter":"127.0.0.1"}`,
 	} {
-		configured(t, text)
+		configured(t, whole(text))
 		if g.reload(os.Getenv("EDGE_CONFIG")) == nil {
 			t.Errorf("%s: taken", name)
 		}
@@ -439,7 +442,7 @@
 	if len(asked) > 0 || len(ended) > 0 {
 		t.Fatal("a file with a fault moved the watch")
 	}
-	configured(t, `{"discovery":"`+second+`"}`)
+	configured(t, whole(`{"discovery":"`+second+`"}`))
 	if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 		t.Fatal(err)
 	}
@@ -481,7 +484,7 @@
 	if got := next(t, calls); got != "first" {
 		t.Fatalf("called the %s", got)
 	}
-	configured(t, `{"counter":"`+second+`"}`)
+	configured(t, whole(`{"counter":"`+second+`"}`))
 	if err := g.reload(os.Getenv("EDGE_CONFIG")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"slices"
 
 	"foxwood/policy"
 )
@@ -76,6 +78,8 @@
 type Names struct {
 	Classes, Plans, Zones []string
 	ConnIdle, ConnectMost policy.Micros
+
+	unknown []error // words that are not, which Check tells
 }
 
 // What holds where an operator's settings say nothing of connections.
@@ -117,19 +121,16 @@
 	for _, c := range p.Classes {
 		k := policy.Class{
 			Aim: c.Objective, Deadline: c.Deadline, Window: c.Window,
-			Worth: c.Worth, LateWorth: c.LateWorth, Repeat: policy.Unsafe,
+			Worth: c.Worth, LateWorth: c.LateWorth, Repeat: policy.Unsafe, Group: groups[c.Group],
+			Attempts: p.Limits.MaxAttempts,
 		}
-		switch c.Repeat {
-		case "idempotent":
-			k.Repeat = policy.Safe
-		case "deduplicated":
-			k.Repeat = policy.Keyed
+		if r, ok := repeats[c.Repeat]; ok { // what is not known is safest not repeated
+			k.Repeat = r
+		} else {
+			names.unknown = append(names.unknown, fmt.Errorf("settings: class %q: repeat %q is not known", c.Name, c.Repeat))
 		}
-		switch c.Group {
-		case "zone":
-			k.Group = policy.GroupZone
-		case "cell":
-			k.Group = policy.GroupCell
+		if _, ok := groups[c.Group]; !ok {
+			names.unknown = append(names.unknown, fmt.Errorf("settings: class %q: group %q is not known", c.Name, c.Group))
 		}
 		s.Classes = append(s.Classes, k)
 		names.Classes = append(names.Classes, c.Name)
@@ -144,3 +145,78 @@
 	}
 	return s, names, nil
 }
+
+// Check says what in the terms of classes can't be served by: what a replacement of a
+// running gatekeeper's settings is refused for.
+func Check(s policy.Settings, n Names) error {
+	faults := slices.Clone(n.unknown)
+	fault := func(format string, a ...any) { faults = append(faults, fmt.Errorf("settings: "+format, a...)) }
+	if len(s.Classes) == 0 {
+		fault("no classes")
+	}
+	if s.MaxAttempts <= 0 {
+		fault("max-attempts %d is not over 0", s.MaxAttempts)
+	}
+	seen := map[string]bool{}
+	for i, c := range s.Classes {
+		name := n.Classes[i]
+		switch {
+		case name == "":
+			fault("class %d has no name", i+1)
+			continue
+		case seen[name]:
+			fault("class %q stands twice", name)
+		}
+		seen[name] = true
+		if c.Deadline <= 0 {
+			fault("class %q: deadline-us %d is not over 0", name, c.Deadline)
+		}
+		if c.Aim <= 0 {
+			fault("class %q: objective-us %d is not over 0", name, c.Aim)
+		}
+		if c.Worth < 0 || c.LateWorth < 0 {
+			fault("class %q: a worth is below 0", name)
+		}
+		if c.Repeat == policy.Keyed && c.Window <= 0 {
+			fault("class %q: window-us %d is not over 0", name, c.Window)
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// words that a class's terms may use.
+var (
+	repeats = map[string]policy.Repeat{"idempotent": policy.Safe, "deduplicated": policy.Keyed, "at_most_once": policy.Unsafe}
+	groups  = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+)
+
+// Place gives each class of a new table its place in the table in force, for as long as it
+// is named: requests under way are counted and learned from by it. Places whose class is
+// not named any more have an empty name and keep their terms; they go to new classes only
+// where that leaves fewer than placesMost unused.
+func Place(s *policy.Settings, n *Names, inForce []policy.Class, names []string) {
+	classes, placed := slices.Clone(inForce), make([]string, len(names))
+	var fresh []int
+	for i, name := range n.Classes {
+		if at := slices.Index(names, name); at >= 0 {
+			classes[at], placed[at] = s.Classes[i], name
+		} else {
+			fresh = append(fresh, i)
+		}
+	}
+	for _, i := range fresh {
+		at := -1
+		if len(placed) >= placesMost {
+			at = slices.Index(placed, "")
+		}
+		if at < 0 {
+			at = len(placed)
+			classes, placed = append(classes, policy.Class{}), append(placed, "")
+		}
+		classes[at], placed[at] = s.Classes[i], n.Classes[i]
+	}
+	s.Classes, n.Classes = classes, placed
+}
+
+// placesMost is how many places a table may have before dropped ones are given out again.
+const placesMost = 16
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -608,7 +608,7 @@
 // mayRetry guards rule 2: what may have run goes out again only as its class allows. And
 // it guards workers against what is too late: it would take the place of what is not.
 func (g *Gateway) mayRetry(q *request) bool {
-	if len(q.attempts) >= max(g.set.MaxAttempts, 1) || g.late(q) {
+	if len(q.attempts) >= cmp.Or(q.class.Attempts, g.set.MaxAttempts, 1) || g.late(q) {
 		return false
 	}
 	if !q.uncertain || q.class.Repeat == Safe {
@@ -650,15 +650,15 @@
 
 // SetClasses replaces the table of classes while requests are under way. They keep
 // the terms they came with, and held ones the place that those give them. A class
-// that stays as it is in its place keeps what was learned of it.
+// with the same times in its place keeps what was learned of it.
 func (g *Gateway) SetClasses(now Micros, do Host, classes []Class) {
 	g.enter(now, do)
 	old, held := g.classes, g.queue
 	g.classes = nil
 	for i, c := range classes {
 		st := classState{Class: c, lat: float64(c.Aim) / 4}
-		if i < len(old) && old[i].Class == c {
-			st = old[i]
+		if i < len(old) && old[i].Aim == c.Aim && old[i].Deadline == c.Deadline {
+			st, st.Class = old[i], c
 		}
 		g.classes = append(g.classes, st)
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -37,6 +37,7 @@
 	Worth, LateWorth      float64
 	Repeat                Repeat
 	Group                 Group
+	Attempts              int // a request may have; 0 for what the settings say
 }
 
 // Plan is what a customer pays for: quota, caps and price. A zero Rate, Open or
