--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -143,6 +143,8 @@
 	classes  []policy.Class
 	recorder Recorder
 	meter    Meter
+	beside   func(policy.Draw) // what another process of this gatekeeper is told, nil for none
+	booked   map[uint32]bool   // requests whose draw it knows from a snapshot
 	deciding bool
 	waiting  []func()               // events that came while a decision was being made
 	known    map[policy.Server]bool // the listed workers, and whether they take work
@@ -168,6 +170,7 @@
 type Earlier struct {
 	State policy.Snapshot
 	Exact bool // nothing of that life is missing
+	Still bool // it goes on beside this one until it is told to end
 }
 
 // New makes a gatekeeper and starts its decision module.
@@ -182,7 +185,13 @@
 	}
 	g.enter(func(now policy.Micros) { g.decide.Start(now, g) })
 	if e := c.Earlier; e != nil {
-		g.enter(func(now policy.Micros) { g.decide.Recover(now, g, e.State, e.Exact) })
+		g.enter(func(now policy.Micros) {
+			e.State.Now = min(e.State.Now, now) // the other process's clock may be a little ahead
+			g.decide.Recover(now, g, e.State, e.Exact)
+			if e.Still {
+				g.decide.Joined(e.State)
+			}
+		})
 	}
 	return g
 }
@@ -295,6 +304,9 @@
 	r := x.Request
 	served := o.Status == policy.OK
 	over := r.over || served
+	if g.beside != nil && served && !r.over && o.Units > 0 {
+		g.beside(policy.Draw{Customer: r.Customer, Plan: r.Plan, Spread: r.Spread, Units: o.Units - r.Units, Settles: true})
+	}
 	if served && !r.over {
 		g.end(r, Completed)
 		r.Caller.Served(r, o.Answer)
@@ -371,6 +383,39 @@
 	return g.classes[class]
 }
 
+// Hand makes a snapshot for a process that goes on beside this one. From now on tell is
+// told what is drawn; a nil tell ends that.
+func (g *Gatekeeper) Hand(tell func(policy.Draw)) policy.Snapshot {
+	s := g.decide.Snapshot()
+	g.booked = map[uint32]bool{}
+	for _, id := range s.Handed() {
+		g.booked[id] = true
+	}
+	g.beside = tell
+	return s
+}
+
+// Tell has what is drawn told from now on, or no longer where tell is nil.
+func (g *Gatekeeper) Tell(tell func(policy.Draw)) {
+	if g.beside = tell; tell == nil {
+		g.booked = nil
+	}
+}
+
+// Beside books what another process of this gatekeeper has drawn.
+func (g *Gatekeeper) Beside(d policy.Draw) {
+	g.enter(func(now policy.Micros) { g.decide.Beside(now, d) })
+}
+
+// draw tells the other process of an execution that starts: its first one draws the units.
+func (g *Gatekeeper) draw(r *Request, x *Execution) {
+	d := policy.Draw{Customer: r.Customer, Plan: r.Plan, Spread: r.Spread, Server: x.Worker}
+	if x.n == 0 && !g.booked[r.id] {
+		d.Units = r.Units
+	}
+	g.beside(d)
+}
+
 // Standings is what the decision module thinks of the workers, and how many
 // executions it would have out at once.
 func (g *Gatekeeper) Standings() ([]policy.Standing, float64) {
@@ -472,6 +517,9 @@
 	r.execs = append(r.execs, x)
 	r.open++
 	g.timers.push(timer{at: x.began + x.Timeout, exec: x})
+	if g.beside != nil {
+		g.draw(r, x)
+	}
 	g.fleet.Execute(x)
 }
 
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -46,6 +46,10 @@
 	Timer(now policy.Micros, do policy.Host, token uint64)
 	Recover(now policy.Micros, do policy.Host, s policy.Snapshot, exact bool)
 	Standings(now policy.Micros) ([]policy.Standing, float64)
+	Snapshot() policy.Snapshot
+	// Joined and Beside are calls of two processes side by side; no capture is kept then.
+	Joined(s policy.Snapshot)
+	Beside(now policy.Micros, d policy.Draw)
 }
 
 // recorded is a module whose calls, and whose calls of its host, a recorder is told.
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -84,6 +84,9 @@
 // Drain tells clients to go elsewhere: from now on every answer ends its link.
 func (s *Clients) Drain() { s.draining = true }
 
+// Stay takes that back.
+func (s *Clients) Stay() { s.draining = false }
+
 // Draining tells whether the gatekeeper is going away.
 func (s *Clients) Draining() bool { return s.draining }
 
--- a/internal/link/driver.go
+++ b/internal/link/driver.go
@@ -18,6 +18,9 @@
 	shut(c gnet.Conn)
 	// servers is the most server links open at once.
 	servers() int
+	// openings is the most server links being opened at once.
+	openings() int
 }
 
-func (l *Loop) servers() int { return l.Budget.Servers }
+func (l *Loop) servers() int  { return l.Budget.Servers }
+func (l *Loop) openings() int { return l.Budget.Openings }
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -182,7 +182,7 @@
 // room tells whether another link may be opened, and closes one at rest for it where
 // that is what it takes.
 func (f *Fleet) room() bool {
-	return f.openings < openingsMost && (f.links < f.loop.servers() || f.spare())
+	return f.openings < f.loop.openings() && (f.links < f.loop.servers() || f.spare())
 }
 
 // spare closes an idle link to make room for another.
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -10,16 +10,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
 )
 
 // conn is what a link needs of its connection; gnet's has it.
@@ -246,42 +249,89 @@
 
 // Listener accepts client connections.
 type Listener struct {
-	net.Listener
+	*net.TCPListener
+	from    interface{ Accept() (net.Conn, error) } // itself, but for tests
 	closing atomic.Bool
+
+	mu     sync.Mutex
+	paused chan struct{} // closed when it goes on; nil while it does
 }
 
-// Listen opens the one address that clients connect to.
+// Listen opens the one address that clients connect to. A new process may open it beside
+// one that is in service (SO_REUSEPORT): so it can start where the other hands nothing over.
 func Listen(addr string) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	shared := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var inner error
+		err := raw.Control(func(fd uintptr) {
+			inner = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return errors.Join(err, inner)
+	}}
+	ln, err := shared.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Listener{Listener: ln}, nil
+	return Inherited(ln.(*net.TCPListener)), nil
 }
 
+// Inherited is a listener that another process has opened.
+func Inherited(ln *net.TCPListener) *Listener { return &Listener{TCPListener: ln, from: ln} }
+
 // Accept hands every client connection to the loop, until the listener closes.
 // Running out of descriptors makes it wait, not end.
 func (ln *Listener) Accept(l *Loop, make func() *Client) {
 	const pause = 5 * time.Millisecond
 	for {
-		c, err := ln.Listener.Accept()
+		if wait := ln.resting(); wait != nil {
+			<-wait
+		}
+		c, err := ln.from.Accept()
 		if err == nil {
 			_, err = l.client.EnrollContext(c, make())
 		}
 		if ln.closing.Load() {
 			return
 		}
-		if err != nil {
+		if err != nil && ln.resting() == nil {
 			slog.Warn("client link not accepted", "error", err)
 			time.Sleep(pause)
 		}
 	}
 }
 
+func (ln *Listener) resting() chan struct{} {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.paused
+}
+
+// Pause leaves what comes in to another process that has the listener too.
+func (ln *Listener) Pause() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.paused == nil {
+		ln.paused = make(chan struct{})
+		_ = ln.SetDeadline(time.Unix(1, 0)) // Accept returns
+	}
+}
+
+// Resume accepts again.
+func (ln *Listener) Resume() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.paused != nil {
+		_ = ln.SetDeadline(time.Time{})
+		close(ln.paused)
+		ln.paused = nil
+	}
+}
+
 // Close stops accepting.
 func (ln *Listener) Close() error {
 	ln.closing.Store(true)
-	return ln.Listener.Close()
+	err := ln.TCPListener.Close()
+	ln.Resume() // that Accept sees it
+	return err
 }
 
 // quiet passes on gnet's errors and drops the rest.
--- a/internal/link/loop_test.go
+++ b/internal/link/loop_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	tried := make(chan int, 3)
-	ln.Listener = &short{Listener: ln.Listener, fails: 3, tried: tried}
+	ln.from = &short{Listener: ln.TCPListener, fails: 3, tried: tried}
 	made := make(chan bool, 1)
 	over := make(chan bool)
 	clients := NewClients(loop, gatekeeper.NewClock(), nil, nil)
--- a/internal/link/model_test.go
+++ b/internal/link/model_test.go
@@ -47,7 +47,8 @@
 	return w
 }
 
-func (w *world) servers() int { return 12 }
+func (w *world) servers() int  { return 12 }
+func (w *world) openings() int { return openingsMost }
 func (w *world) flushSoon(f flusher, g *mark) {
 	if !g.dirty {
 		g.dirty = true
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"foxwood/gatekeeper"
@@ -40,11 +41,20 @@
 	Names settings.Names
 
 	version int64
-	addrs   map[policy.Server]string // of the listed workers, draining ones too
+	listed  map[policy.Server]Instance // draining ones too
 }
 
 // Address is where a listed worker listens, empty where it is not known.
-func (g *HostGroup) Address(id policy.Server) string { return g.addrs[id] }
+func (g *HostGroup) Address(id policy.Server) string { return g.listed[id].Addr }
+
+// List is what is held, whole.
+func (g *HostGroup) List() List {
+	l := List{Generation: g.version, Reset: true}
+	for _, id := range slices.Sorted(maps.Keys(g.listed)) {
+		l.Instances = append(l.Instances, g.listed[id])
+	}
+	return l
+}
 
 // Path asks for a watch of what comes after the version held.
 func (g *HostGroup) Path() string {
@@ -68,9 +78,9 @@
 // Apply takes a list.
 func (g *HostGroup) Apply(kind policy.ListKind, l List) {
 	entries := make([]policy.Entry, 0, len(l.Instances))
-	before := g.addrs
-	if kind != policy.Delta || g.addrs == nil {
-		g.addrs = map[policy.Server]string{}
+	before := g.listed
+	if kind != policy.Delta || g.listed == nil {
+		g.listed = map[policy.Server]Instance{}
 	}
 	for _, it := range l.Instances {
 		e := policy.Entry{
@@ -79,14 +89,14 @@
 			ReadyAt: policy.Micros(it.Started * 1000),
 		}
 		if e.State == policy.Gone {
-			delete(g.addrs, e.Server)
+			delete(g.listed, e.Server)
 		} else {
-			if old, ok := before[e.Server]; ok && old != it.Addr { // what is known of it is of another process
+			if old, ok := before[e.Server]; ok && old.Addr != it.Addr { // what is known of it is of another process
 				left := e
 				left.State = policy.Gone
 				entries = append(entries, left)
 			}
-			g.addrs[e.Server] = it.Addr
+			g.listed[e.Server] = it
 		}
 		if e.State == policy.Ready {
 			g.Fleet.Place(e.Server, it.Addr, it.Started)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/admin"
 	"foxwood/internal/config"
+	"foxwood/internal/handover"
 	"foxwood/internal/link"
 	"foxwood/internal/openapi"
 	"foxwood/internal/platform"
@@ -88,6 +89,15 @@
 	names    settings.Names
 	platform *platform.Front
 	retunes  int // tables of classes put in force at SIGHUP
+
+	aside    int              // descriptors that are not the loop's
+	accepts  bool             // clients; the loop's, and so are the following
+	listener *link.Listener   // nil before
+	socket   *handover.Socket // where a new process finds this one; nil where none can
+	before   *handover.Peer   // the process whose place this one took, while it has not ended
+	heir     *handover.Peer   // the one that is to take, or has taken, the place of this one
+	leaving  bool             // it has
+	ended    bool
 }
 
 // Run serves by a configuration file until SIGTERM, and then until what was taken is
@@ -103,16 +113,12 @@
 	}
 	environ(&c)
 	tune(c.Limits.MemoryMB)
-	s, err := start(c)
+	before := meet(c)
+	s, err := start(c, before)
 	if err != nil {
+		before.refuse()
 		return err
 	}
-	listener, err := link.Listen(c.Listen)
-	if err != nil {
-		return err
-	}
-	go listener.Accept(s.loop, s.clients.Make)
-	slog.Info("serving", "name", c.Name, "listen", c.Listen, "workers", len(c.Known.Instances), "transport", c.Transport.Carrier)
 	go func() { // also while the gatekeeper drains: what it still serves needs the counter
 		for range again {
 			err := s.reload(file)
@@ -124,9 +130,18 @@
 			}
 		}
 	}()
-	slog.Info("draining", "name", c.Name, "signal", (<-stop).String())
+	var signal os.Signal
+	select {
+	case err = <-s.serve(c, before):
+		if err != nil {
+			return err
+		}
+		signal = <-stop
+	case signal = <-stop: // the process in service goes on alone
+	}
+	slog.Info("draining", "name", c.Name, "signal", signal.String())
 	s.drain()
-	_ = listener.Close()
+	s.leave()
 	slog.Info("ended", "name", c.Name)
 	return s.stop()
 }
@@ -144,7 +159,7 @@
 }
 
 // start makes the parts and sets them to work, short of taking clients.
-func start(c config.Config) (*service, error) {
+func start(c config.Config, before *predecessor) (*service, error) {
 	set, names, err := c.Terms()
 	if err != nil {
 		return nil, err
@@ -174,11 +189,10 @@
 		set.Classes, names.Classes, f = s.api.Classes(), s.api.Names(), s.api
 	}
 	s.set, s.names = set, names
-	aside := 0
 	if c.Control != "" {
-		aside, s.figures = admin.Descriptors, stats.New(names.Classes)
+		s.aside, s.figures = admin.Descriptors, stats.New(names.Classes)
 	}
-	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets), aside)); err != nil {
+	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets), s.aside)); err != nil {
 		return nil, err
 	}
 	if c.XDS != "" {
@@ -186,10 +200,10 @@
 			return nil, err
 		}
 	}
-	var before *gatekeeper.Earlier
+	past := before.state()
 	if c.Capture != nil {
 		if c.Capture.Warm {
-			before = earlier(c, time.Now())
+			past = earlier(c, time.Now())
 		}
 		if s.capture, err = openCapture(c, clock, seed); err != nil {
 			return nil, err
@@ -203,7 +217,7 @@
 	s.loop.Post(func() {
 		made := gatekeeper.Config{
 			Settings: set, Seed: seed, Clock: clock, Fleet: fleet, Counter: s.counter,
-			Wake: func(at float64) { s.loop.Wake(at - clock.Now()) }, Earlier: before,
+			Wake: func(at float64) { s.loop.Wake(at - clock.Now()) }, Earlier: past,
 		}
 		if s.capture != nil {
 			made.Recorder = s.capture
@@ -219,7 +233,7 @@
 			s.api.Attach(s.core, s.clients.Draining)
 		}
 		s.hosts = &platform.HostGroup{Core: s.core, Fleet: fleet, Names: names}
-		s.hosts.Apply(policy.Cached, c.Known)
+		s.hosts.Apply(policy.Cached, before.list(c.Known))
 		s.watch = link.NewWatch(s.loop, clock, c.Discovery, s.hosts.Path, s.hosts.Line)
 		if c.Discovery != "" {
 			s.watch.Start()
@@ -256,7 +270,7 @@
 
 // publish gives the door a copy of the figures of this moment.
 func (s *service) publish() {
-	s.serving.Store(s.core.Ready() && !s.clients.Draining())
+	s.serving.Store(s.accepts && s.core.Ready() && !s.clients.Draining())
 	standings, _ := s.core.Standings()
 	avoided := 0
 	for _, x := range standings {
@@ -430,7 +444,10 @@
 func tune(memoryMB int) {
 	runtime.GOMAXPROCS(2)
 	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(memoryGoal(memoryMB))
 	}
 	debug.SetGCPercent(gcPercent)
 }
+
+// memoryGoal is the part of the limit that the runtime may use.
+func memoryGoal(memoryMB int) int64 { return int64(memoryMB) << 20 * 3 / 4 }
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -132,7 +132,7 @@
 	if change != nil {
 		change(&c)
 	}
-	s, err := start(c)
+	s, err := start(c, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,6 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.loop.Post(func() { s.accepts, s.listener = true, ln; s.publishNow() })
 	go ln.Accept(s.loop, s.clients.Make)
 	t.Cleanup(func() {
 		ln.Close()
