Let messages over 64 KiB flow through a bounded window with back pressure

Cause: bodies over 64 KiB were 413, answers were held whole up to 1 MiB and cut off beyond, and an answer ended by its connection was an error.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -61,6 +61,11 @@
 	Again       bool // marked as a client's repeat
 	Caller      Caller
 	Payload     any // what the links send; the core does not look inside
+	// Filling is set while the request's last byte is still to come: its time runs from
+	// that on, and so does an execution's.
+	Filling bool
+	// Spent is set once it can't be sent again: bytes of it are no longer held.
+	Spent bool
 
 	id       uint32
 	deadline float64
@@ -81,6 +86,8 @@
 	began float64
 	ended bool
 	wrote bool // whole, to the worker
+
+	filling bool // it was sent before the request's last byte had come
 }
 
 // End is how a request ended for its client.
@@ -304,22 +311,12 @@
 	r := x.Request
 	served := o.Status == policy.OK
 	over := r.over || served
-	if g.beside != nil && served && !r.over && o.Units > 0 {
-		g.beside(policy.Draw{Customer: r.Customer, Plan: r.Plan, Spread: r.Spread, Units: o.Units - r.Units, Settles: true})
-	}
 	if served && !r.over {
+		g.settle(x, o)
 		g.end(r, Completed)
 		r.Caller.Served(r, o.Answer)
 	}
-	latency := micros(g.clock.Now() - x.began)
-	g.enter(func(now policy.Micros) {
-		g.decide.Outcome(now, g, policy.Outcome{
-			ID: r.id, Latency: latency, Terminal: over || r.over, Status: o.Status, Settled: o.Units,
-			Attempt: x.n, Server: x.Worker, Load: o.Load,
-		})
-		r.open--
-		g.forget(r)
-	})
+	g.outcome(x, o, over)
 }
 
 // Counted ends a counter call. A call that has timed out is over already. The module is
@@ -475,11 +472,79 @@
 // Wrote tells that the last byte of an execution has left for its worker. Links that can't
 // see that need not call it: an outcome tells so too.
 func (g *Gatekeeper) Wrote(x *Execution) {
-	if x.wrote || g.meter == nil {
+	if x.wrote {
 		return
 	}
 	x.wrote = true
-	g.meter.Wrote()
+	if x.filling { // a worker begins with the last byte
+		x.began = g.clock.Now()
+	}
+	if g.meter != nil {
+		g.meter.Wrote()
+	}
+}
+
+// Filled tells that a request's last byte has come, after the request was taken.
+func (g *Gatekeeper) Filled(r *Request) {
+	if r.over || !r.Filling {
+		return
+	}
+	r.Filling = false
+	r.deadline = g.clock.Now() + r.Left
+	for _, x := range r.execs {
+		if !x.ended {
+			g.timers.push(timer{at: r.deadline, exec: x})
+		}
+	}
+	g.rewake()
+}
+
+// Progress tells that bytes of an execution move.
+func (g *Gatekeeper) Progress(x *Execution) {
+	if !x.ended {
+		g.enter(func(now policy.Micros) { g.decide.Progress(now, x.Worker) })
+	}
+}
+
+// Begun tells that the worker's answer has begun to flow to the caller, and what its head
+// said. The execution is over for the decision module: it serves its request, or nobody
+// does. Finish must follow. It returns false where the request is over already.
+func (g *Gatekeeper) Begun(x *Execution, o Outcome) bool {
+	if x.ended || x.Request.over {
+		return false
+	}
+	g.settle(x, o)
+	x.ended = true
+	g.Wrote(x)
+	g.outcome(x, o, true)
+	return true
+}
+
+// Finish ends a request whose answer has flowed, whole or not.
+func (g *Gatekeeper) Finish(r *Request, how End) {
+	if !r.over {
+		g.end(r, how)
+	}
+}
+
+// settle tells another process of what a served request really drew.
+func (g *Gatekeeper) settle(x *Execution, o Outcome) {
+	if r := x.Request; g.beside != nil && o.Units > 0 {
+		g.beside(policy.Draw{Customer: r.Customer, Plan: r.Plan, Spread: r.Spread, Units: o.Units - r.Units, Settles: true})
+	}
+}
+
+// outcome tells the decision module how an execution ended.
+func (g *Gatekeeper) outcome(x *Execution, o Outcome, over bool) {
+	r, latency := x.Request, micros(g.clock.Now()-x.began)
+	g.enter(func(now policy.Micros) {
+		g.decide.Outcome(now, g, policy.Outcome{
+			ID: r.id, Latency: latency, Terminal: over || r.over, Spent: r.Spent, Status: o.Status, Settled: o.Units,
+			Attempt: x.n, Server: x.Worker, Load: o.Load,
+		})
+		r.open--
+		g.forget(r)
+	})
 }
 
 // end is the one place where a request gets its final answer.
@@ -516,7 +581,9 @@
 	}
 	r.execs = append(r.execs, x)
 	r.open++
-	g.timers.push(timer{at: x.began + x.Timeout, exec: x})
+	if x.filling = r.Filling; !x.filling { // else Filled sees to it
+		g.timers.push(timer{at: x.began + x.Timeout, exec: x})
+	}
 	if g.beside != nil {
 		g.draw(r, x)
 	}
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -50,6 +50,8 @@
 	// Joined and Beside are calls of two processes side by side; no capture is kept then.
 	Joined(s policy.Snapshot)
 	Beside(now policy.Micros, d policy.Draw)
+	// Progress is a call of large bodies, which no capture tells of.
+	Progress(now policy.Micros, at policy.Server)
 }
 
 // recorded is a module whose calls, and whose calls of its host, a recorder is told.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -16,8 +16,10 @@
 	MaxHead   = 16 << 10 // request or status line and all header fields
 	MaxFields = 100
 	MaxBody   = 64 << 10 // of a request
-	MaxAnswer = 1 << 20  // of an answer: workers send more than the 64 KiB that are agreed
-	maxLine   = 256      // a chunk's size line, or all trailers together
+	MaxAnswer = 1 << 20  // of an answer that is held whole
+	MaxLarge  = 32 << 20 // of a message that flows through
+	maxLine   = 256      // a line between chunks
+	maxTrail  = 4 << 10  // all trailers together
 
 	maxSkipped = 4 // bytes of empty lines before a request
 
@@ -44,6 +46,8 @@
 	Body           []byte
 	Close          bool // the connection ends after this message
 	Continue       bool // the client waits for a 100 before it sends the body
+	Length         int  // of the body as the head states it, -1 where only its end will tell
+	Large          bool // the body flows through: it is not in Body
 	fields         []field
 }
 
@@ -99,6 +103,7 @@
 	inChunk
 	inChunkEnd
 	inTrailer
+	inRest // all that comes until the connection ends
 	whole
 )
 
@@ -107,6 +112,10 @@
 	// Piece, where set, is given the pieces of an answer's body as they come,
 	// and Body stays empty: for answers that have no end, like a watch.
 	Piece func([]byte)
+	// Flows lets a body be longer than is held. Feed stops at what may be held, and Full
+	// tells so: the rest goes to Piece, once that is set. It also lets an answer end with
+	// its connection.
+	Flows bool
 
 	msg     Message
 	answers bool
@@ -119,6 +128,8 @@
 	old     bool // HTTP/1.0
 	skipped int  // bytes of empty lines before the message
 	trailed int  // bytes of trailers
+	total   int  // bytes of the body so far
+	full    bool // there is more of the body than may be held
 }
 
 // Requests makes a parser of requests.
@@ -137,7 +148,10 @@
 // hundreds of connections it would stay taken by those at rest.
 func (p *Parser) Reset() {
 	p.msg = Message{fields: p.msg.fields[:0]}
-	p.state, p.left, p.lineAt, p.skipped, p.trailed = inHead, 0, 0, 0, 0
+	p.state, p.left, p.lineAt, p.skipped, p.trailed, p.total, p.full = inHead, 0, 0, 0, 0, 0, false
+	if p.Flows {
+		p.Piece = nil
+	}
 	p.head, p.body, p.line = p.head[:0], p.body[:0], p.line[:0]
 	if cap(p.head) > keepMost {
 		p.head = nil
@@ -150,6 +164,30 @@
 // HeadDone tells whether the head of the message has been read.
 func (p *Parser) HeadDone() bool { return p.state != inHead }
 
+// Full tells that there is more of the body than may be held, and no Piece to give it to.
+func (p *Parser) Full() bool { return p.full && p.Piece == nil }
+
+// Held gives out what there is of the body, which the parser does not keep.
+func (p *Parser) Held() []byte {
+	b := p.body
+	p.body = nil
+	return b
+}
+
+// Rest tells that the message ends with its connection.
+func (p *Parser) Rest() bool { return p.state == inRest }
+
+// End tells the parser that the connection has come to its proper end, and whether that
+// makes the message whole.
+func (p *Parser) End() bool {
+	if p.state != inRest {
+		return false
+	}
+	p.state = whole
+	p.msg.Body = p.body
+	return true
+}
+
 // Feed takes bytes up to the end of one message. It returns how many it took and
 // whether the message is whole.
 func (p *Parser) Feed(b []byte) (taken int, done bool, err error) {
@@ -163,19 +201,22 @@
 		if err != nil {
 			return taken, false, err
 		}
+		if p.Full() {
+			return taken, false, nil
+		}
 	}
 	p.msg.Body = p.body
 	return taken, true, nil
 }
 
-// step takes at least one byte.
+// step takes at least one byte, or finds that no more may be held.
 func (p *Parser) step(b []byte) (int, error) {
 	switch p.state {
 	case inHead:
 		return p.takeHead(b)
 	case inBody, inChunk:
-		n := min(p.left, len(b))
-		if err := p.take(b[:n]); err != nil {
+		n, err := p.take(b[:min(p.left, len(b))])
+		if err != nil {
 			return n, err
 		}
 		if p.left -= n; p.left > 0 {
@@ -187,21 +228,29 @@
 			p.state = inChunkEnd
 		}
 		return n, nil
+	case inRest:
+		return p.take(b)
 	default: // inChunkSize, inChunkEnd, inTrailer
 		return p.takeLine(b)
 	}
 }
 
-func (p *Parser) take(b []byte) error {
-	if p.Piece != nil {
+// take takes bytes of the body: all of them, or as many as may be held.
+func (p *Parser) take(b []byte) (int, error) {
+	switch {
+	case p.Flows && p.total+len(b) > MaxLarge, !p.Flows && p.Piece == nil && len(p.body)+len(b) > p.most():
+		return 0, &Error{Status: 413, Reason: "the body is too long"}
+	case p.Piece != nil:
 		p.Piece(b)
-		return nil
-	}
-	if len(p.body)+len(b) > p.most() {
-		return &Error{Status: 413, Reason: "the body is too long"}
+	case p.Flows && len(p.body)+len(b) > MaxBody:
+		b = b[:MaxBody-len(p.body)]
+		p.full = true
+		p.body = append(p.body, b...)
+	default:
+		p.body = append(p.body, b...)
 	}
-	p.body = append(p.body, b...)
-	return nil
+	p.total += len(b)
+	return len(b), nil
 }
 
 // most is the longest body that is taken. What a length claims is only held as it comes.
@@ -364,18 +413,24 @@
 	if !p.answers && !old && m.Count("host") != 1 {
 		return bad("not exactly one host field")
 	}
+	m.Length = length
+	if chunked {
+		m.Length = -1
+	}
 	bare := p.answers && (m.Status < 200 || m.Status == 204 || m.Status == 304)
 	switch {
 	case bare && m.Status < 200 && m.Status != 101: // interim: the answer is still to come
 		p.Reset()
 	case bare, length == 0, !p.answers && !chunked && length < 0:
-		p.state = whole
+		p.state, m.Length = whole, 0
 	case chunked:
 		p.state = inChunkSize
-	case length > p.most() && p.Piece == nil:
+	case p.Flows && length > MaxLarge, !p.Flows && length > p.most() && p.Piece == nil:
 		return &Error{Status: 413, Reason: "the body is too long"}
 	case length > 0:
 		p.state, p.left = inBody, length
+	case p.Flows:
+		p.state, m.Close = inRest, true
 	default: // only its connection's end would end it, and so would a worker's
 		return bad("an answer without a length")
 	}
@@ -392,7 +447,11 @@
 	if p.state == inTrailer {
 		p.trailed += n
 	}
-	if p.line = append(p.line, b[:n]...); len(p.line) > maxLine || p.trailed > maxLine {
+	most := maxLine
+	if p.state == inTrailer {
+		most = maxTrail
+	}
+	if p.line = append(p.line, b[:n]...); len(p.line) > most || p.trailed > maxTrail {
 		return n, bad("a line between chunks is too long")
 	}
 	if !found {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -107,7 +107,7 @@
 		"noise in a field":          {"GET / HTTP/1.1\r\nHost: \x00", false},
 		"empty lines without end":   {"\r\n\r\n\r\n", false},
 		"trailers without end": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" +
-			strings.Repeat("A: b\r\n", 100), false},
+			strings.Repeat("A: b\r\n", 1000), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := Requests()
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"syscall"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 )
@@ -25,6 +23,8 @@
 	readMost   = 2500.0 // for a request to come in: the first counts from the opening
 	restMost   = 5000.0 // between two requests
 	slowMost   = 500.0  // for a request to come in where links are short
+	stallMost  = 2400.0 // between two pieces of a request's body
+	slowBody   = 16.0   // bytes a millisecond that a body is given time for
 
 	unreadMost = 4 << 20 // bytes of answers that a client has not read
 	dropMost   = 1 << 20 // bytes that come behind the last answer and are dropped
@@ -35,23 +35,31 @@
 
 // Client is a client link. It carries one request at a time.
 type Client struct {
-	set     *Clients
-	c       gnet.Conn
-	parser  *http1.Parser
-	backlog []byte
-	current *gatekeeper.Request
-	busy    bool
-	ending  bool // the answer that is owed is the last
-	dead    bool
-	handing bool
-	heard   bool    // a request has come in whole
-	deaf    bool    // its last answer is given: what still comes is dropped
-	dropped int     // bytes so far
-	born    float64 // when it was opened
-	since   float64 // when it came onto its list
-	list    *clientList
-	prev    *Client
-	next    *Client
+	set      *Clients
+	c        conn
+	parser   *http1.Parser
+	up       *upload // of a body that flows, while its request is open
+	down     *server // whose answer flows here
+	chunked  bool    // in chunks
+	bare     bool    // the request was a HEAD: its answer has no body
+	heardAt  float64 // last bytes of a request
+	bytes    int     // of its body
+	pushed   int     // bytes that the client was seen to have taken, and when
+	pushedAt float64
+	backlog  []byte
+	current  *gatekeeper.Request
+	busy     bool
+	ending   bool // the answer that is owed is the last
+	dead     bool
+	handing  bool
+	heard    bool    // a request has come in whole
+	deaf     bool    // its last answer is given: what still comes is dropped
+	dropped  int     // bytes so far
+	born     float64 // when it was opened
+	since    float64 // when it came onto its list
+	list     *clientList
+	prev     *Client
+	next     *Client
 }
 
 // clientList is links of one state, the one longest in it first.
@@ -79,7 +87,11 @@
 }
 
 // Make makes the object of a connection that was accepted.
-func (s *Clients) Make() *Client { return &Client{set: s, parser: http1.Requests()} }
+func (s *Clients) Make() *Client {
+	l := &Client{set: s, parser: http1.Requests()}
+	l.parser.Flows = true
+	return l
+}
 
 // Drain tells clients to go elsewhere: from now on every answer ends its link.
 func (s *Clients) Drain() { s.draining = true }
@@ -103,7 +115,7 @@
 	now := s.clock.Now()
 	for l := list.first; l != nil && now-l.since > most; {
 		after := l.next
-		if l.c.OutboundBuffered() == 0 || list == &s.leaving {
+		if l.c.OutboundBuffered() == 0 || list == &s.leaving && !l.slow(now) {
 			l.shut()
 		}
 		l = after
@@ -123,13 +135,22 @@
 	}
 	for l := s.reading.first; l != nil; { // not in order: first requests count from the opening
 		after := l.next
-		if now-l.since > readMost {
+		if l.overdue(now) {
 			l.reject(&http1.Error{Status: http.StatusRequestTimeout, Reason: "the request did not come in"})
 		}
 		l = after
 	}
 }
 
+// overdue tells whether a request that is coming in has taken too long: its head as a
+// whole, its body from piece to piece, and by its size.
+func (l *Client) overdue(now float64) bool {
+	if !l.parser.HeadDone() {
+		return now-l.since > readMost
+	}
+	return now-l.heardAt > stallMost || now-l.since > readMost+float64(l.bytes)/slowBody
+}
+
 // makeRoom closes the link that is missed least: one whose last answer is given, one
 // that says nothing or takes long to say it, and only then one between two requests.
 func (s *Clients) makeRoom() {
@@ -156,7 +177,7 @@
 	return n
 }
 
-func (l *Client) opened(c gnet.Conn) {
+func (l *Client) opened(c conn) {
 	s := l.set
 	l.c, l.born = c, s.clock.Now()
 	s.all[l] = true
@@ -213,11 +234,16 @@
 
 func (l *Client) traffic(b []byte) {
 	if l.deaf {
-		if l.dropped += len(b); l.dropped > dropMost {
+		if l.dropped += len(b); l.dropped > l.dropsMost() {
 			l.shut()
 		}
 		return
 	}
+	l.heardAt = l.set.clock.Now()
+	if l.up != nil && !l.up.done {
+		l.fill(b)
+		return
+	}
 	if l.busy || len(l.backlog) > 0 {
 		if len(l.backlog)+len(b) > backlogMost {
 			l.shut()
@@ -238,6 +264,13 @@
 			l.reject(err)
 			return
 		}
+		if l.parser.HeadDone() {
+			l.bytes += n
+		}
+		if l.parser.Full() {
+			l.large(b)
+			return
+		}
 		if !done {
 			if m := l.parser.Message(); m.Continue && l.parser.HeadDone() {
 				m.Continue = false
@@ -247,7 +280,8 @@
 		}
 		m := l.parser.Message()
 		l.leave()
-		l.busy, l.heard, l.ending = true, true, m.Close
+		l.busy, l.heard, l.ending, l.bytes = true, true, m.Close, 0
+		l.bare = string(m.Method) == http.MethodHead
 		l.handing = true
 		l.set.front.Handle(l, m)
 		l.handing = false
@@ -273,6 +307,10 @@
 // Submit hands a request to the core; this link is its caller.
 func (l *Client) Submit(r *gatekeeper.Request) {
 	r.Caller, l.current = l, r
+	if l.up != nil {
+		r.Filling, l.up.r = true, r
+		r.Payload.(*Payload).Up = l.up
+	}
 	if !l.set.core.Take(r) {
 		l.current = nil
 		l.Reject(http.StatusConflict, "another request of this name is open\n")
@@ -326,10 +364,22 @@
 		out = append(out, "\r\nConnection: close"...)
 	}
 	out = append(append(out, "\r\n"...), head...)
-	out = append(append(out, "\r\n"...), body...)
+	out = append(out, "\r\n"...)
+	if !l.bare {
+		out = append(out, body...)
+	}
 	l.set.out = out
 	l.write(out)
+	l.answered(end)
+}
+
+// answered goes on behind the last byte of an answer.
+func (l *Client) answered(end bool) {
 	l.busy = false
+	if l.up != nil {
+		end = l.up.end() || end
+		l.up = nil
+	}
 	if l.dead {
 		return
 	}
@@ -389,6 +439,13 @@
 	l.dead = true
 	l.leave()
 	delete(l.set.all, l)
+	if l.up != nil {
+		l.up.done = true
+	}
+	if s := l.down; s != nil {
+		l.down = nil
+		s.unread()
+	}
 	if r := l.current; r != nil {
 		l.current = nil
 		l.set.core.Gone(r)
--- a/internal/link/counter.go
+++ b/internal/link/counter.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/policy"
@@ -50,7 +48,7 @@
 	set    *Counter
 	lane   *lane
 	addr   string
-	c      gnet.Conn
+	c      conn
 	parser *http1.Parser
 	calls  []call // those that have timed out too: their answers still take their turn
 	last   float64
@@ -156,7 +154,7 @@
 	}
 }
 
-func (l *counterLink) opened(c gnet.Conn) {
+func (l *counterLink) opened(c conn) {
 	l.c, l.last = c, l.set.clock.Now()
 	if l.lane.next != l { // the counter moved meanwhile
 		l.set.loop.shut(c)
--- a/internal/link/driver.go
+++ b/internal/link/driver.go
@@ -1,10 +1,6 @@
 package link
 
-import (
-	"time"
-
-	"github.com/panjf2000/gnet/v2"
-)
+import "time"
 
 // driver is what a fleet needs of the loop that drives it.
 type driver interface {
@@ -15,7 +11,9 @@
 	// flushSoon has a link written to at the end of this event or turn; g is the link's.
 	flushSoon(f flusher, g *mark)
 	// shut closes a connection, which calls closed on its endpoint.
-	shut(c gnet.Conn)
+	shut(c conn)
+	// leave makes a connection one that can stop reading, if it can be.
+	leave(c conn, e flowing) (*flow, bool)
 	// servers is the most server links open at once.
 	servers() int
 	// openings is the most server links being opened at once.
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -4,8 +4,6 @@
 	"syscall"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/internal/lanes"
@@ -16,6 +14,7 @@
 // lines from the request line on, without the time left, and the body.
 type Payload struct {
 	Head, Body []byte
+	Up         *upload // in the place of the body, where that flows
 }
 
 // Reader turns a worker's answer into an outcome.
@@ -100,6 +99,13 @@
 	Done(x *gatekeeper.Execution, o gatekeeper.Outcome)
 	// Wrote tells that the last byte of an execution has left.
 	Wrote(x *gatekeeper.Execution)
+	// Progress tells that bytes of an execution move.
+	Progress(x *gatekeeper.Execution)
+	// Begun tells that an answer has begun to flow to its caller, Finish how that ended,
+	// and Gone that the caller left.
+	Begun(x *gatekeeper.Execution, o gatekeeper.Outcome) bool
+	Finish(r *gatekeeper.Request, how gatekeeper.End)
+	Gone(r *gatekeeper.Request)
 	// Class is the terms of a class.
 	Class(class int) policy.Class
 }
@@ -157,6 +163,10 @@
 // Execute implements gatekeeper.Fleet.
 func (f *Fleet) Execute(x *gatekeeper.Execution) {
 	w := f.workers[x.Worker]
+	if p, ok := x.Request.Payload.(*Payload); ok && p.Up != nil && f.transport.Carrier != OneAtATime {
+		f.end(x, policy.ConnectFailed) // fronts do not hand such to other transports
+		return
+	}
 	if w == nil {
 		f.end(x, policy.ConnectFailed)
 		return
@@ -220,7 +230,7 @@
 // cutOff sees to it that nothing more leaves by a link that ends. It guards against
 // gnet's close, which writes what is still buffered after OnClose: an execution that was
 // reported as never sent whole would yet arrive whole.
-func cutOff(c gnet.Conn) {
+func cutOff(c conn) {
 	if c.OutboundBuffered() > 0 {
 		_ = syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
 	}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -29,11 +29,20 @@
 type conn interface {
 	Write([]byte) (int, error)
 	OutboundBuffered() int
+	Fd() int
+}
+
+// enrolled is a connection that gnet serves.
+type enrolled interface {
+	conn
+	Dup() (int, error)
+	SetContext(any)
+	EventLoop() gnet.EventLoop
 }
 
 // endpoint is the object behind one connection. Its methods run on the loop.
 type endpoint interface {
-	opened(c gnet.Conn)
+	opened(c conn)
 	traffic(b []byte)
 	closed(err error)
 }
@@ -52,7 +61,9 @@
 	gathers bool      // there are such links at all
 	asked   bool      // for the end of the turn
 	depth   int       // of events
+	pump    *pump     // nil before the first flow
 	Budget  *Budget
+	Flowing int // bytes that all flows may hold, 0 for no limit
 }
 
 // flusher is a link that writes what it has gathered in a turn of the loop at once.
@@ -104,9 +115,9 @@
 	peer int // held open for the life of the loop
 }
 
-func (a *anchor) opened(c gnet.Conn) { a.loop.events = c.EventLoop(); close(a.loop.ready) }
-func (a *anchor) traffic([]byte)     {}
-func (a *anchor) closed(error)       { _ = syscall.Close(a.peer) }
+func (a *anchor) opened(c conn)  { a.loop.events = c.(enrolled).EventLoop(); close(a.loop.ready) }
+func (a *anchor) traffic([]byte) {}
+func (a *anchor) closed(error)   { _ = syscall.Close(a.peer) }
 
 // Post runs do on the loop. Any goroutine may call it.
 func (l *Loop) Post(do func()) {
@@ -201,7 +212,11 @@
 func (l *Loop) Stop() error {
 	l.stopped.Store(true)
 	l.alarm.Stop()
-	return l.client.Stop()
+	err := l.client.Stop()
+	if l.pump != nil { // the loop has ended, so nobody else has it
+		l.pump.stop()
+	}
+	return err
 }
 
 // OnOpen implements gnet.EventHandler.
@@ -231,7 +246,14 @@
 	return gnet.None
 }
 
-func (l *Loop) shut(c gnet.Conn) { _ = c.EventLoop().Close(c) }
+func (l *Loop) shut(c conn) {
+	switch c := c.(type) {
+	case *flow:
+		c.close(nil)
+	case gnet.Conn:
+		_ = c.EventLoop().Close(c)
+	}
+}
 
 // dial opens a connection and hands it to e, or calls failed. It belongs to a
 // connection, which serves many requests, not to a request.
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -1,12 +1,12 @@
 package link
 
 import (
+	"errors"
+	"io"
 	"slices"
 	"strconv"
 	"syscall"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/policy"
@@ -45,7 +45,7 @@
 	set     *serial
 	addr    string
 	born    float64 // when its opening began
-	c       gnet.Conn
+	c       conn
 	parser  *http1.Parser
 	x       *gatekeeper.Execution
 	part    *gatekeeper.Execution // whose answer has begun
@@ -53,6 +53,16 @@
 	writing bool
 	dead    bool
 	since   float64 // idle since
+
+	up     *upload // that flows to the worker
+	sent   int     // bytes of it
+	filled bool    // all of it
+	down   *Client // that the answer flows to
+	serves *gatekeeper.Request
+	headAt float64 // when the answer's head had come
+	moved  float64 // when bytes of what flows last did
+	told   float64 // when the core was last told so
+	cut    bool    // the link is of no further use
 }
 
 func (s *serial) execute(x *gatekeeper.Execution) {
@@ -167,6 +177,7 @@
 		s.links++
 		f.links++
 		l := &server{fleet: f, set: s, addr: s.w.addr, born: now, parser: http1.Answers()}
+		l.parser.Flows = true
 		f.loop.dial(s.w.addr, f.patience, l, l.failed)
 	}
 }
@@ -184,13 +195,14 @@
 func (l *server) abandon(x *gatekeeper.Execution) (sent bool) {
 	if l.x == x {
 		l.x = nil
-		sent = l.c.OutboundBuffered() == 0
+		sent = l.whole()
+		l.detach()
 		l.shut()
 	}
 	return sent
 }
 
-func (l *server) opened(c gnet.Conn) {
+func (l *server) opened(c conn) {
 	l.c = c
 	l.set.openings--
 	l.fleet.openings--
@@ -202,7 +214,7 @@
 }
 
 // unheard tells whether nothing has come on a connection that has not been read yet.
-func unheard(c gnet.Conn) bool {
+func unheard(c conn) bool {
 	var b [1]byte
 	_, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return err == syscall.EAGAIN
@@ -248,14 +260,28 @@
 // start writes an execution.
 func (l *server) start(x *gatekeeper.Execution) {
 	l.parser.Reset()
-	l.x, x.Slot = x, l
+	l.x, x.Slot, l.headAt, l.up = x, l, 0, nil
+	p := x.Request.Payload.(*Payload)
+	flows := p.Up != nil
+	if flows {
+		f, ok := l.fleet.loop.leave(l.c, l)
+		if !ok {
+			l.shut()
+			return
+		}
+		l.c = f
+	}
 	out := l.fleet.message(l.fleet.out[:0], x, "", 0)
 	l.fleet.out = out
 	l.writing = true
 	_, _ = l.c.Write(out) // a failed write closes the link
 	l.writing = false
-	if !l.dead && l.x == x && l.c.OutboundBuffered() == 0 {
-		l.fleet.core.Wrote(x)
+	switch {
+	case l.dead || l.x != x:
+	case flows:
+		l.attach(p.Up)
+	default:
+		l.wrote()
 	}
 }
 
@@ -274,21 +300,30 @@
 }
 
 func (l *server) traffic(b []byte) {
-	if l.x == nil { // nothing was asked
-		l.shut()
-		return
-	}
-	n, done, err := l.parser.Feed(b)
-	switch {
-	case err != nil:
-		l.shut()
-	case done:
-		l.answered(n < len(b))
-	case l.parser.Started():
-		l.heard = l.fleet.clock.Now()
-		if l.part != l.x {
-			l.part = l.x
-			l.hurry()
+	for !l.dead {
+		if l.x == nil && l.down == nil { // nothing was asked
+			l.shut()
+			return
+		}
+		n, done, err := l.parser.Feed(b)
+		b = b[n:]
+		switch {
+		case l.dead:
+		case err != nil:
+			l.shut()
+		case done:
+			l.answered(len(b) > 0)
+			return
+		case l.x != nil && l.parser.Started():
+			l.heard = l.fleet.clock.Now()
+			if l.part != l.x {
+				l.part = l.x
+				l.hurry()
+			}
+			l.consider()
+		}
+		if len(b) == 0 {
+			return
 		}
 	}
 }
@@ -308,7 +343,23 @@
 }
 
 func (l *server) answered(more bool) {
+	if l.down != nil {
+		more = more || l.cut || l.parser.Message().Close
+		l.passed(true)
+		if l.dead {
+			return
+		}
+		if more {
+			l.shut()
+		} else {
+			l.rest()
+		}
+		return
+	}
 	x := l.x
+	more = more || !l.whole()
+	l.detach()
+	l.up = nil
 	l.x, l.part, x.Slot = nil, nil, nil
 	m := l.parser.Message()
 	o := l.fleet.reader.Outcome(m)
@@ -320,20 +371,42 @@
 	l.fleet.core.Done(x, o)
 }
 
+// ending takes an answer that is whole because its connection has properly ended.
+func (l *server) ending(m *http1.Message) {
+	x := l.x
+	l.x = nil
+	l.ended()
+	if x == nil {
+		l.passed(true)
+	} else {
+		x.Slot = nil
+		l.fleet.core.Done(x, l.fleet.reader.Outcome(m))
+	}
+	l.set.open()
+}
+
 func (l *server) shut() {
 	if !l.dead {
 		l.fleet.loop.shut(l.c)
 	}
 }
 
-func (l *server) closed(error) {
+func (l *server) closed(err error) {
+	if (l.x != nil || l.down != nil) && errors.Is(err, io.EOF) && l.parser.End() {
+		l.ending(l.parser.Message())
+		return
+	}
 	x := l.x
 	if i := slices.Index(l.set.idle, l); i >= 0 {
 		l.set.idle = slices.Delete(l.set.idle, i, i+1)
 	}
-	left := l.writing || l.c.OutboundBuffered() > 0 // its last byte never left
+	left := l.writing || !l.whole() // its last byte never left
+	l.detach()
 	cutOff(l.c)
 	l.ended()
+	if l.down != nil {
+		l.passed(false)
+	}
 	l.set.open()
 	if x == nil {
 		return
--- a/internal/link/shared.go
+++ b/internal/link/shared.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/policy"
 )
@@ -53,7 +51,7 @@
 	fleet   *Fleet
 	addr    string
 	born    float64 // when its opening began
-	c       gnet.Conn
+	c       conn
 	speech  speech
 	given   int64 // bytes written to the connection
 	writing bool
@@ -269,7 +267,7 @@
 	return sent
 }
 
-func (t *trunk) opened(c gnet.Conn) {
+func (t *trunk) opened(c conn) {
 	t.c = c
 	t.set.openings--
 	t.fleet.openings--
--- a/internal/link/watch.go
+++ b/internal/link/watch.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 )
@@ -36,7 +34,7 @@
 type watchLink struct {
 	w      *Watch
 	addr   string
-	c      gnet.Conn
+	c      conn
 	parser *http1.Parser
 	line   []byte
 	last   float64
@@ -80,7 +78,7 @@
 	}
 }
 
-func (l *watchLink) opened(c gnet.Conn) {
+func (l *watchLink) opened(c conn) {
 	l.c, l.last, l.w.open = c, l.w.clock.Now(), l
 	if l.addr != l.w.addr { // the watch moved meanwhile
 		l.w.loop.shut(c)
--- a/internal/openapi/front.go
+++ b/internal/openapi/front.go
@@ -179,6 +179,10 @@
 		platform.Health(l, m, f.core.Ready() && !f.draining())
 		return
 	}
+	if m.Large { // operations' bodies are held whole
+		l.Reject(413, "the body is too long\n")
+		return
+	}
 	r, refusal := f.Request(m)
 	if refusal != nil {
 		l.Reply(refusal.Status, refusal.Head, refusal.Text+"\n")
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -78,8 +78,8 @@
 func Health(l *link.Client, m *http1.Message, ready bool) {
 	path, _, _ := bytes.Cut(m.Target, []byte{'?'})
 	switch {
-	case string(m.Method) != "GET":
-		l.Reply(405, "Allow: GET\r\n", "only GET\n")
+	case string(m.Method) != "GET" && string(m.Method) != "HEAD":
+		l.Reply(405, "Allow: GET, HEAD\r\n", "only GET\n")
 	case string(path) == PathReady && !ready:
 		l.Reply(503, "", "not ready\n")
 	default:
@@ -134,7 +134,7 @@
 	if class.Repeat == policy.Keyed && len(m.Get(headRepeat)) == 0 {
 		return nil, fmt.Errorf("%s is missing", headRepeat)
 	}
-	if string(m.Method) == "GET" && len(m.Body) > 0 {
+	if string(m.Method) == "GET" && (len(m.Body) > 0 || m.Large) {
 		return nil, fmt.Errorf("GET has no body")
 	}
 	if err := f.terms(r, m.Get(headTerms)); err != nil {
@@ -209,7 +209,13 @@
 			b = append(append(b, v...), "\r\n"...)
 		}
 	}
-	if string(m.Method) != "GET" || len(m.Body) > 0 {
+	switch {
+	case m.Large && m.Length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case m.Large:
+		b = append(b, "Content-Length: "...)
+		b = append(strconv.AppendInt(b, int64(m.Length), 10), "\r\n"...)
+	case string(m.Method) != "GET" || len(m.Body) > 0:
 		b = append(b, "Content-Length: "...)
 		b = append(strconv.AppendInt(b, int64(len(m.Body)), 10), "\r\n"...)
 	}
--- a/internal/service/replace.go
+++ b/internal/service/replace.go
@@ -317,6 +317,7 @@
 func (s *service) holds(processes int) {
 	limits := s.inForce.Limits
 	*s.loop.Budget = *link.NewBudget(descriptors(limits.Sockets)/processes, s.aside)
+	s.loop.Flowing = flowing(limits.MemoryMB / processes)
 	if limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(memoryGoal(limits.MemoryMB) / int64(processes))
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -40,6 +40,7 @@
 	drainLook    = 20 * time.Millisecond
 	counterPath  = "/v2/numbers"
 	gcPercent    = 100
+	flowPart     = 8 // of the memory is for large messages under way
 	// stillTaken is how long requests of a class that SIGHUP has dropped are taken.
 	stillTaken = 2 * time.Second
 	// restMost is the part of the workers' idle time that a server link may rest.
@@ -195,6 +196,7 @@
 	if s.loop, err = link.NewLoop(link.NewBudget(descriptors(c.Limits.Sockets), s.aside)); err != nil {
 		return nil, err
 	}
+	s.loop.Flowing = flowing(c.Limits.MemoryMB)
 	if c.XDS != "" {
 		if s.xds, err = xds.Listen(c.XDS); err != nil {
 			return nil, err
@@ -449,5 +451,8 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+// flowing is how many bytes of large messages may be under way at once.
+func flowing(memoryMB int) int { return memoryMB << 20 / flowPart }
+
 // memoryGoal is the part of the limit that the runtime may use.
 func memoryGoal(memoryMB int) int64 { return int64(memoryMB) << 20 * 3 / 4 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,7 +589,7 @@
 	switch {
 	case q.done || o.Terminal || o.Status == OK:
 		g.finish(q)
-	case g.mayRetry(q):
+	case !o.Spent && g.mayRetry(q):
 		g.hold(q)
 		do.Timer(tokenGiveUp<<32|uint64(q.id), max(g.giveUp(q)-now, 0))
 	default:
--- a/policy/types.go
+++ b/policy/types.go
@@ -107,6 +107,7 @@
 	ID       uint32
 	Latency  Micros
 	Terminal bool
+	Spent    bool // its body can't be sent again
 	Status   Status
 	Settled  float64 // the true units, 0 for none
 	Used     int     // 1 + percent of the quota used, 0 for none
