Count no upload as work before its last byte; let refused bodies come to their end

A refused upload was closed 1 s after its answer in the middle of its body, and uploads of seconds stood in the module's bound though a worker begins with the last byte.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -273,7 +273,7 @@
 		left := micros(r.deadline - g.clock.Now())
 		g.decide.Request(now, g, policy.Request{
 			ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer, Left: left,
-			Units: r.Units, Spread: r.Spread, Again: r.Again,
+			Units: r.Units, Spread: r.Spread, Again: r.Again, Filling: r.Filling,
 		})
 	})
 	return true
@@ -496,7 +496,7 @@
 			g.timers.push(timer{at: r.deadline, exec: x})
 		}
 	}
-	g.rewake()
+	g.enter(func(now policy.Micros) { g.decide.Filled(now, r.id) })
 }
 
 // Progress tells that bytes of an execution move.
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -50,7 +50,8 @@
 	// Joined and Beside are calls of two processes side by side; no capture is kept then.
 	Joined(s policy.Snapshot)
 	Beside(now policy.Micros, d policy.Draw)
-	// Progress is a call of large bodies, which no capture tells of.
+	// Filled and Progress are calls of large bodies, which no capture tells of.
+	Filled(now policy.Micros, id uint32)
 	Progress(now policy.Micros, at policy.Server)
 }
 
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -26,6 +26,8 @@
 	stallMost  = 2400.0 // between two pieces of a request's body
 	slowBody   = 16.0   // bytes a millisecond that a body is given time for
 
+	sendMost = 30000.0 // for a client to come to the end of a large body that was refused
+
 	unreadMost = 4 << 20 // bytes of answers that a client has not read
 	dropMost   = 1 << 20 // bytes that come behind the last answer and are dropped
 )
@@ -234,9 +236,7 @@
 
 func (l *Client) traffic(b []byte) {
 	if l.deaf {
-		if l.dropped += len(b); l.dropped > l.dropsMost() {
-			l.shut()
-		}
+		l.drop(len(b))
 		return
 	}
 	l.heardAt = l.set.clock.Now()
@@ -400,7 +400,7 @@
 // still comes: to close with bytes unread would reset the connection, and to close
 // with bytes unsent would lose them; the client might see no answer either way.
 func (l *Client) finish() {
-	l.deaf, l.backlog = true, nil
+	l.deaf, l.deafAt, l.backlog = true, l.set.clock.Now(), nil
 	l.halfClose()
 	l.enter(&l.set.leaving, l.set.clock.Now())
 }
--- a/internal/link/large.go
+++ b/internal/link/large.go
@@ -53,7 +53,7 @@
 	case l.up == u:
 		l.fill(rest)
 	case l.deaf:
-		l.dropped += len(rest)
+		l.drop(len(rest))
 	}
 }
 
@@ -128,13 +128,19 @@
 	return !u.done
 }
 
-// dropsMost is how much may come behind the last answer: the rest of a large body, or a
-// part of one that was refused for its size.
-func (l *Client) dropsMost() int {
+// drop takes what comes behind the last answer. The rest of a large body may come to its
+// end: a client that is cut off in the middle of it might not see the answer.
+func (l *Client) drop(n int) {
+	s, most := l.set, dropMost
 	if _, ok := l.c.(*flow); ok {
-		return http1.MaxLarge
+		most = http1.MaxLarge
+		if now := s.clock.Now(); now-l.deafAt < sendMost {
+			l.enter(&s.leaving, now)
+		}
+	}
+	if l.dropped += n; l.dropped > most {
+		l.shut()
 	}
-	return dropMost
 }
 
 // slow tells whether the client still reads what was written, at its own pace.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -316,7 +316,7 @@
 		return
 	}
 	q := &request{id: r.ID, class: &g.classes[r.Class], plan: &g.plans[r.Plan], cust: g.customer(r),
-		units: r.Units, level: g.levels[r.Class][r.Plan], arrived: now, deadline: now + r.Left,
+		units: r.Units, filling: r.Filling, level: g.levels[r.Class][r.Plan], arrived: now, deadline: now + r.Left,
 		halfway: now + r.Left/2 - 2*max(g.set.Tick, milli)}
 	g.reqs[r.ID] = q
 	q.arrived -= g.waited(q.class, r.Left, r.Again)
@@ -476,7 +476,7 @@
 }
 
 func (g *Gateway) pressed() bool {
-	return float64(g.inFlight-g.stuck) >= g.byTurns(g.bound, g.capWindow/2, 0)
+	return float64(g.inFlight-g.stuck-g.filling) >= g.byTurns(g.bound, g.capWindow/2, 0)
 }
 
 // waitOf is how long a new request of a level is likely to be held.
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	attempts    []*attempt
 	open        int  // attempts outstanding
 	sent, done  bool // a first attempt was made; the final answer is given
+	filling     bool // its last byte is still to come
 	held        bool
 	drawing     bool // the counter is asked for its units
 	admitted    bool
@@ -32,6 +33,7 @@
 	sent       Micros
 	open       bool
 	load       float64 // its work against the average
+	filling    bool    // the worker can't have begun
 	prev, next *attempt
 }
 
@@ -138,6 +140,7 @@
 
 	inFlight int
 	stuck    int    // of them, on servers that are silent
+	filling  int    // of them, with a last byte still to come
 	answered Micros // last answer of any server
 	bound    float64
 	boundSet bool
@@ -234,7 +237,11 @@
 	}
 	a.open = false
 	s.open--
-	s.load -= a.load
+	if a.filling {
+		g.filling--
+	} else {
+		s.load -= a.load
+	}
 	a.req.open--
 	a.req.cust.open--
 	g.inFlight--
@@ -250,10 +257,14 @@
 
 // openAttempt adds an attempt to its request's and its server's lists.
 func (g *Gateway) openAttempt(q *request, s *server, load float64) {
-	a := &attempt{req: q, srv: s, n: len(q.attempts), sent: g.now, open: true, load: load}
+	a := &attempt{req: q, srv: s, n: len(q.attempts), sent: g.now, open: true, load: load, filling: q.filling}
 	q.attempts = append(q.attempts, a)
 	s.link(a)
-	s.load += load
+	if a.filling {
+		g.filling++
+	} else {
+		s.load += load
+	}
 	q.open++
 	q.cust.open++
 	g.inFlight++
--- a/policy/types.go
+++ b/policy/types.go
@@ -85,6 +85,7 @@
 	Units       float64
 	Spread      int  // through how many gateways the customer comes
 	Again       bool // marked as a client's repeat
+	Filling     bool // its last byte is still to come: Gateway.Filled tells when it has
 }
 
 // Status is the way an attempt, a probe or a counter call ended.
