--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -57,6 +57,7 @@
 	heard    bool    // a request has come in whole
 	deaf     bool    // its last answer is given: what still comes is dropped
 	dropped  int     // bytes so far
+	deafAt   float64 // when it was given
 	born     float64 // when it was opened
 	since    float64 // when it came onto its list
 	list     *clientList
