--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -7,11 +7,13 @@
 }
 
 const (
-	reserve      = 48 // the runtime, the loop, the listener, standard files, discovery
+	reserve      = 48 // the runtime, the loop, the listeners, standard files, discovery, a handover
+	reserveLeast = 28 // of which so many are open at most; the rest is for what nobody thought of
+	reservePart  = 8  // where descriptors are few, this part of them at most
 	openingsMost = 24 // server links being opened, each with two descriptors for a moment
 	countersMost = 8  // of the 32 that the counter keeps
 
-	openingsPart  = 10 // where descriptors are few, this part of them is for links being opened,
+	openingsPart  = 16 // where descriptors are few, this part of them is for links being opened,
 	openingsLeast = 6  // and so many at least
 )
 
@@ -20,6 +22,7 @@
 // bound keeps far lower, the rest to clients.
 func NewBudget(limit, aside int) *Budget {
 	openings := max(min(openingsMost, limit/openingsPart), openingsLeast)
-	left := max(limit-aside-reserve-2*openings-countersMost, 16)
+	kept := max(min(reserve, limit/reservePart), reserveLeast)
+	left := max(limit-aside-kept-2*openings-countersMost, 16)
 	return &Budget{Servers: left / 3, Clients: left - left/3, Counters: countersMost, Openings: openings}
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -22,7 +22,7 @@
 	silentMost = 2000.0 // from the opening to the first byte of a request
 	readMost   = 2500.0 // for a request to come in: the first counts from the opening
 	restMost   = 5000.0 // between two requests
-	slowMost   = 500.0  // for a request to come in where links are short
+	pauseMost  = 1000.0 // between two pieces of a request where links are short
 	stallMost  = 2400.0 // between two pieces of a request's body
 	slowBody   = 16.0   // bytes a millisecond that a body is given time for
 
@@ -45,6 +45,7 @@
 	chunked  bool    // in chunks
 	bare     bool    // the request was a HEAD: its answer has no body
 	heardAt  float64 // last bytes of a request
+	goesOn   bool    // they were not its first
 	bytes    int     // of its body
 	pushed   int     // bytes that the client was seen to have taken, and when
 	pushedAt float64
@@ -154,21 +155,36 @@
 	return now-l.heardAt > stallMost || now-l.since > readMost+float64(l.bytes)/slowBody
 }
 
-// makeRoom closes the link that is missed least: one whose last answer is given, one
-// that says nothing or takes long to say it, and only then one between two requests.
-func (s *Clients) makeRoom() {
+// makeRoom closes the link that is missed least: one whose last answer is given, one that
+// says nothing, one whose request has stopped coming in; then one between two requests, and
+// only then one that was just opened or a request that is still on its way. It guards slow
+// clients, who bring theirs in pieces, against a crowd of silent ones.
+func (s *Clients) makeRoom(newest *Client) {
 	now := s.clock.Now()
+	stopped := s.longestPause()
 	for _, c := range []struct {
-		list *clientList
-		age  float64
-	}{{&s.leaving, 0}, {&s.fresh, justOpened}, {&s.reading, slowMost}, {&s.resting, 0}, {&s.fresh, 0}} {
-		if l := c.list.first; l != nil && now-l.since >= c.age {
-			l.shut()
+		l   *Client
+		age float64
+	}{{s.leaving.first, 0}, {s.fresh.first, justOpened}, {stopped, pauseMost}, {s.resting.first, 0}, {s.fresh.first, 0}, {stopped, 0}} {
+		if c.l != nil && c.l != newest && now-max(c.l.since, c.l.heardAt) >= c.age {
+			c.l.shut()
 			return
 		}
 	}
 }
 
+// longestPause is the link on which a request is coming in that has been silent longest, of
+// those first that have never gone on after their first piece.
+func (s *Clients) longestPause() *Client {
+	longest := s.reading.first
+	for l := longest; l != nil; l = l.next {
+		if l.goesOn != longest.goesOn && longest.goesOn || l.goesOn == longest.goesOn && l.heardAt < longest.heardAt {
+			longest = l
+		}
+	}
+	return longest
+}
+
 // Len is the number of open client links on which something may still be owed.
 func (s *Clients) Len() int {
 	n := 0
@@ -186,7 +202,7 @@
 	s.all[l] = true
 	l.enter(&s.fresh, l.born)
 	if len(s.all) > s.loop.Budget.Clients {
-		s.makeRoom() // room to accept is kept
+		s.makeRoom(l) // room to accept is kept
 	}
 }
 
@@ -240,7 +256,9 @@
 		l.drop(len(b))
 		return
 	}
-	l.heardAt = l.set.clock.Now()
+	now := l.set.clock.Now()
+	l.goesOn = l.list == &l.set.reading && now-l.heardAt > 1
+	l.heardAt = now
 	if l.up != nil && !l.up.done {
 		l.fill(b)
 		return
--- a/internal/link/loop_test.go
+++ b/internal/link/loop_test.go
@@ -62,12 +62,12 @@
 }
 
 func TestTheBudgetLeavesRoom(t *testing.T) {
-	for _, limit := range []int{64, 256, 1024, 20000} {
+	for _, limit := range []int{64, 128, 192, 256, 1024, 20000} {
 		b := NewBudget(limit, 0)
 		if b.Clients < 1 || b.Servers < 1 {
 			t.Errorf("limit %d: %+v", limit, b)
 		}
-		if most := b.Clients + b.Servers + 2*openingsMost + b.Counters + reserve; limit >= 256 && most > limit {
+		if most := b.Clients + b.Servers + 2*b.Openings + b.Counters + reserveLeast; limit >= 128 && most > limit {
 			t.Errorf("limit %d is passed by %d", limit, most-limit)
 		}
 	}
--- a/internal/service/operations_test.go
+++ b/internal/service/operations_test.go
@@ -241,3 +241,76 @@
 		t.Errorf("a class that is long dropped got %d", res.StatusCode)
 	}
 }
+
+// TestASlowClientOutlastsTheSilent: past the budget, links that say nothing go, and those
+// that have stopped in the middle of a request, before one that goes on bringing its own.
+func TestASlowClientOutlastsTheSilent(t *testing.T) {
+	addr, _ := worker(t, say(served))
+	g := open(t, func(c *config.Config) { c.Limits.Sockets = 160 }, addr)
+	slow := g.dial()
+	head := cuota("mayor", 1900)
+	const pieces = 5
+	for i := range pieces { // 2 s in all
+		slow.send(head[i*len(head)/pieces : (i+1)*len(head)/pieces])
+		if i == pieces-1 {
+			break
+		}
+		g.pass(450)
+		if i == 0 { // so far it looks like those that never go on
+			continue
+		}
+		for n := range g.loop.Budget.Clients {
+			c := g.dial()
+			if n%2 == 0 {
+				c.send("GET /api HTTP/1.1\r\nHost")
+			}
+			if n%3 == 0 { // asks once and stays
+				c = g.dial()
+				if res, _ := c.ask("GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n"); res.StatusCode != 200 {
+					t.Fatalf("status %d", res.StatusCode)
+				}
+			}
+		}
+	}
+	if res, _ := slow.get(); res.StatusCode != 200 {
+		t.Fatalf("status %d", res.StatusCode)
+	}
+}
+
+// TestADrainUnderAFullTableAnswersAllThatWasTaken, however crowded it is.
+func TestADrainUnderAFullTableAnswersAllThatWasTaken(t *testing.T) {
+	release := make(chan bool)
+	addr, got := worker(t, func(n int, s *seen) bool { <-release; return say(served)(n, s) })
+	g := open(t, func(c *config.Config) { c.Limits.Sockets = 160 }, addr)
+	var asked []*client
+	for range 3 { // within the bound
+		asked = append(asked, g.dial().send(cuota("mayor", 1900)))
+	}
+	for range asked {
+		next(t, got)
+	}
+	for range 2 * g.loop.Budget.Clients {
+		g.dial()
+	}
+	drained := make(chan bool)
+	go func() { g.drain(); close(drained) }()
+	for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		var draining bool
+		g.on(func() { draining = g.clients.Draining() })
+		if draining {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("no drain")
+		}
+	}
+	late := g.dial().send(cuota("mayor", 1900)) // taken after SIGTERM
+	next(t, got)
+	close(release)
+	for _, c := range append(asked, late) {
+		if res, _ := c.get(); res.StatusCode != 200 || !res.Close {
+			t.Errorf("status %d, close %v", res.StatusCode, res.Close)
+		}
+	}
+	next(t, drained)
+}
