--- a/internal/service/operations_test.go
+++ b/internal/service/operations_test.go
@@ -93,6 +93,58 @@
 	}
 }
 
+// TestTheFiguresTellAttemptsFromRequests: one that is retried has two attempts, one whose
+// worker can't be reached has none that was written whole, and so has a body that the worker
+// breaks off in the middle; a client that leaves stands under nothing but its attempt.
+func TestTheFiguresTellAttemptsFromRequests(t *testing.T) {
+	broken := listen(t, func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, 100<<10) })
+	for name, c := range map[string]struct {
+		worker string
+		answer func(n int, s *seen) bool
+		text   []byte
+		leaves bool
+		want   map[string]string
+	}{
+		"retried": {answer: func(n int, s *seen) bool {
+			if n == 0 {
+				return say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")(n, s)
+			}
+			return say(served)(n, s)
+		}, text: []byte(cuota("mayor", 1900)), want: map[string]string{"completed.cuota": "1|c", "upstream_requests": "2|c"}},
+		"not reached": {worker: free(t), text: []byte(cuota("mayor", 1900)),
+			want: map[string]string{"rejected.cuota": "1|c", "upstream_requests": "0|c"}},
+		"a broken write": {worker: broken, text: heavy("7c2d", pattern(20<<20), 0),
+			want: map[string]string{"rejected.simulacion": "1|c", "upstream_requests": "0|c"}},
+		"left": {answer: hang, text: []byte(cuota("mayor", 1900)), leaves: true,
+			want: map[string]string{"completed.cuota": "0|c", "rejected.cuota": "0|c", "failed.cuota": "0|c", "upstream_requests": "1|c", "pending": "0|g"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, got := c.worker, make(chan *seen)
+			if addr == "" {
+				addr, got = worker(t, c.answer)
+			}
+			g := open(t, withDoor, addr)
+			cl := g.dial()
+			go func() { _, _ = cl.Write(c.text) }()
+			if c.leaves {
+				next(t, got)
+				cl.Close()
+				for open, until := 1, time.Now().Add(patience); open > 0 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+					g.on(func() { open = g.core.Open() })
+				}
+			} else {
+				cl.get()
+			}
+			figures := g.figures()
+			for figure, want := range c.want {
+				if figures[figure] != want {
+					t.Errorf("%s is %s, want %s", figure, figures[figure], want)
+				}
+			}
+		})
+	}
+}
+
 // TestAFailedRequestStandsUnderFailed: an unsafe class's execution may have run.
 func TestAFailedRequestStandsUnderFailed(t *testing.T) {
 	addr, _ := worker(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
--- a/internal/service/replace_test.go
+++ b/internal/service/replace_test.go
@@ -284,6 +284,100 @@
 	now.exit()
 }
 
+// TestTheOldOneMayBeToldToEndBeforeTheNewOneServes: what it took is answered, and nobody
+// meets a closed door.
+func TestTheOldOneMayBeToldToEndBeforeTheNewOneServes(t *testing.T) {
+	s := easy(t, settingsText)
+	now := s.run(true)
+	load := s.traffic()
+	load.more(t, 20)
+	heir := s.run(false)
+	for until := time.Now().Add(patience); heir.says() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no door")
+		}
+	}
+	now.signal(syscall.SIGTERM)
+	heir.yes()
+	now.exit()
+	load.more(t, 20)
+	load.end(t, 40)
+	heir.signal(syscall.SIGTERM)
+	heir.exit()
+}
+
+// figure is what the process's door tells under a name.
+func (p *process) figure(name string) string {
+	p.t.Helper()
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get("http://" + p.control + "/admin/stats")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "edge."+name+":"); ok {
+			return strings.TrimSuffix(value, "\n")
+		}
+	}
+	return ""
+}
+
+// becomes waits until a figure is as it should be.
+func (p *process) becomes(name, want string) {
+	p.t.Helper()
+	for until := time.Now().Add(patience); p.figure(name) != want; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			p.t.Fatalf("%s is %q, want %q", name, p.figure(name), want)
+		}
+	}
+}
+
+// TestBrokenFilesAreTurnedDownUnderLoad, each kind of them, whole, with a line that says why;
+// a good one is taken after them.
+func TestBrokenFilesAreTurnedDownUnderLoad(t *testing.T) {
+	s := easy(t, settingsText)
+	p := s.run(true)
+	load := s.traffic()
+	load.more(t, 20)
+	good, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(good)
+	broken := []string{
+		"", text[:len(text)/2], text[:len(text)-1],
+		strings.Replace(text, `"classes"`, `"klasses"`, 1),
+		strings.Replace(text, `"settings"`, `"setting"`, 1),
+		strings.Replace(text, `"repeat":"idempotent"`, `"again":"idempotent"`, 1),
+		strings.Replace(text, `"deadline-us":2000000`, `"deadline-us":0`, 1),
+		strings.Replace(text, `"deadline-us":2000000`, `"deadline-us":-5`, 1),
+		strings.Replace(text, `"max-attempts":3`, `"max-attempts":0`, 1),
+	}
+	for i, b := range broken {
+		if err := os.WriteFile(s.config, []byte(b), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(syscall.SIGHUP)
+		p.becomes("config_reload_errors", fmt.Sprintf("%d|c", i+1))
+	}
+	other := strings.Replace(text, `{"name":"cuota"`, `{"name":"prueba","objective-us":400000,"deadline-us":900000,"worth":1,"repeat":"at_most_once"},{"name":"cuota"`, 1)
+	if err := os.WriteFile(s.config, []byte(other), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	p.becomes("config_reloads", "1|c")
+	p.becomes("completed.prueba", "0|c")
+	load.more(t, 20)
+	load.end(t, 40)
+	p.signal(syscall.SIGTERM)
+	p.exit()
+	if n := strings.Count(p.log.String(), "configuration not replaced"); n != len(broken) {
+		t.Errorf("%d lines for %d files", n, len(broken))
+	}
+}
+
 // TestEitherMayDieAtAnyStep: what is left serves.
 func TestEitherMayDieAtAnyStep(t *testing.T) {
 	s := easy(t, settingsText)
