Let a file that SIGHUP would turn down replace no process; keep classes in their places

Seen while looking through the replacement: a faulty file that the process in service had turned down would have been the new process's settings. It now ends, and the old one serves on.

--- a/internal/service/replace.go
+++ b/internal/service/replace.go
@@ -14,6 +14,7 @@
 	"foxwood/internal/handover"
 	"foxwood/internal/link"
 	"foxwood/internal/platform"
+	"foxwood/internal/settings"
 	"foxwood/policy"
 )
 
@@ -69,6 +70,26 @@
 	return &gatekeeper.Earlier{State: b.offer.State, Exact: true, Still: true}
 }
 
+// agree puts the classes of a configuration in the places that they have in the process in
+// service, so that what it has learned of them is found again. A file that this one would
+// have turned down at SIGHUP is no better at the start of another: it serves on alone.
+func (b *predecessor) agree(c config.Config, set *policy.Settings, names *settings.Names) error {
+	if b == nil || c.OpenAPI != nil {
+		return nil
+	}
+	if err := settings.Check(*set, *names); err != nil {
+		return err
+	}
+	var inForce []policy.Class
+	for _, class := range b.offer.State.Classes[:min(b.offer.State.InForce, len(b.offer.State.Classes))] {
+		inForce = append(inForce, class.Class)
+	}
+	if len(inForce) == len(b.offer.Classes) {
+		settings.Place(set, names, inForce, b.offer.Classes)
+	}
+	return nil
+}
+
 // list is the workers it was told of, or else those that the configuration knows.
 func (b *predecessor) list(known platform.List) platform.List {
 	if b == nil {
--- a/internal/service/replace_test.go
+++ b/internal/service/replace_test.go
@@ -306,6 +306,28 @@
 	heir.exit()
 }
 
+// TestAFileThatIsTurnedDownReplacesNobody: the process in service goes on by the old one.
+func TestAFileThatIsTurnedDownReplacesNobody(t *testing.T) {
+	s := easy(t, settingsText)
+	now := s.run(true)
+	load := s.traffic()
+	load.more(t, 20)
+	s.write(strings.Replace(settingsText, `"deadline-us":2000000`, `"deadline-us":0`, 1))
+	now.signal(syscall.SIGHUP)
+	now.becomes("config_reload_errors", "1|c")
+	heir := s.run(false)
+	if err := next(t, heir.ended); err == nil {
+		t.Error("a process has served by a faulty file")
+	}
+	load.more(t, 20)
+	if now.says() != 200 {
+		t.Error("the old process does not serve")
+	}
+	load.end(t, 40)
+	now.signal(syscall.SIGTERM)
+	now.exit()
+}
+
 // figure is what the process's door tells under a name.
 func (p *process) figure(name string) string {
 	p.t.Helper()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -165,6 +165,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := before.agree(c, &set, &names); err != nil {
+		return nil, err
+	}
 	seed, stated, err := c.SeedBits()
 	if err != nil {
 		return nil, err
