Give a client of HTTP/1.0 no chunks; test every form of a large body at every cut

An answer of unknown length that flows to such a client ends with its link, and one that breaks resets it, or the client would take a part for the whole.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -48,6 +48,7 @@
 	Continue       bool // the client waits for a 100 before it sends the body
 	Length         int  // of the body as the head states it, -1 where only its end will tell
 	Large          bool // the body flows through: it is not in Body
+	Old            bool // HTTP/1.0, which has no chunks
 	fields         []field
 }
 
@@ -384,7 +385,7 @@
 func (p *Parser) framing(old bool) error {
 	m := &p.msg
 	chunked, length := false, -1
-	m.Close = old
+	m.Close, m.Old = old, old
 	for _, f := range m.fields {
 		switch {
 		case equalFold(f.name, "transfer-encoding"):
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -130,3 +131,71 @@
 		}
 	})
 }
+
+// TestALargeBodyFlowsInEveryForm, wherever the pieces that come are cut: what is held and
+// what goes to Piece is the body, and what stands behind it is left.
+func TestALargeBodyFlowsInEveryForm(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", (MaxBody+1000)/16)
+	chunks := func(size int) string {
+		var b strings.Builder
+		for rest := body; len(rest) > 0; {
+			n := min(size, len(rest))
+			fmt.Fprintf(&b, "%x ;name=value\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		return b.String() + "0\r\nX-Trailer: " + strings.Repeat("t", 900) + "\r\n\r\n"
+	}
+	request := "POST / HTTP/1.1\r\nHost: a\r\n"
+	for name, c := range map[string]struct {
+		parser *Parser
+		text   string
+		rest   bool // it ends with its connection
+	}{
+		"a request of a length":  {Requests(), request + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body, false},
+		"a request in chunks":    {Requests(), request + "Transfer-Encoding: chunked\r\n\r\n" + chunks(7777), false},
+		"an answer of a length":  {Answers(), fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)) + body, false},
+		"an answer in chunks":    {Answers(), "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(70000), false},
+		"an answer that ends it": {Answers(), "HTTP/1.1 200 OK\r\n\r\n" + body, true},
+	} {
+		for _, cut := range []int{1, 2, 3, 1000, 1 << 20} {
+			t.Run(fmt.Sprintf("%s, cut at %d", name, cut), func(t *testing.T) {
+				p, text := c.parser, c.text
+				if !c.rest {
+					text += "behind"
+				}
+				p.Flows = true
+				p.Reset()
+				got, done := []byte{}, false
+				for !done && len(text) > 0 {
+					n, whole, err := p.Feed([]byte(text[:min(cut, len(text))]))
+					if err != nil {
+						t.Fatal(err)
+					}
+					if text, done = text[n:], whole; p.Full() {
+						got = append(got, p.Held()...)
+						p.Piece = func(b []byte) { got = append(got, b...) }
+					}
+				}
+				if c.rest {
+					done = p.End()
+				}
+				if string(got) != body || !done || !c.rest && text != "behind" {
+					t.Fatalf("%d bytes of %d, whole %v, left %q", len(got), len(body), done, text)
+				}
+			})
+		}
+	}
+}
+
+// TestABodyWithinWhatIsHeldIsHeldWhole also where it might flow.
+func TestABodyWithinWhatIsHeldIsHeldWhole(t *testing.T) {
+	for _, size := range []int{1, MaxBody - 1, MaxBody} {
+		p := Requests()
+		p.Flows = true
+		body := strings.Repeat("x", size)
+		_, done, err := p.Feed([]byte(fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, body)))
+		if err != nil || !done || p.Full() || string(p.Message().Body) != body {
+			t.Errorf("%d bytes: whole %v, full %v, %v", size, done, p.Full(), err)
+		}
+	}
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -44,6 +44,8 @@
 	down     *server // whose answer flows here
 	chunked  bool    // in chunks
 	bare     bool    // the request was a HEAD: its answer has no body
+	old      bool    // it was of HTTP/1.0, which has no chunks
+	endless  bool    // the answer that flows here ends with the link
 	heardAt  float64 // last bytes of a request
 	goesOn   bool    // they were not its first
 	bytes    int     // of its body
@@ -300,7 +302,7 @@
 		m := l.parser.Message()
 		l.leave()
 		l.busy, l.heard, l.ending, l.bytes = true, true, m.Close, 0
-		l.bare = string(m.Method) == http.MethodHead
+		l.bare, l.old = string(m.Method) == http.MethodHead, m.Old
 		l.handing = true
 		l.set.front.Handle(l, m)
 		l.handing = false
--- a/internal/link/large.go
+++ b/internal/link/large.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"golang.org/x/sys/unix"
+
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/policy"
@@ -42,7 +44,7 @@
 	m := l.parser.Message()
 	m.Large = true
 	l.leave()
-	l.busy, l.heard, l.ending, l.bytes, l.bare = true, true, m.Close, 0, false
+	l.busy, l.heard, l.ending, l.bytes, l.bare, l.old = true, true, m.Close, 0, false, m.Old
 	u := &upload{client: l, length: m.Length, held: l.parser.Held()}
 	l.up, l.parser.Piece = u, u.take
 	l.handing = true
@@ -177,7 +179,7 @@
 	if !ok {
 		return false
 	}
-	l.c, l.down, l.chunked = f, from, length < 0
+	l.c, l.down, l.chunked = f, from, length < 0 && !l.old
 	status := a.Status
 	if status == 0 {
 		status = 200
@@ -185,9 +187,12 @@
 	out := append(l.set.out[:0], "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(status), 10)
 	out = append(append(out, ' '), http.StatusText(status)...)
-	if l.chunked {
+	switch {
+	case l.chunked:
 		out = append(out, "\r\nTransfer-Encoding: chunked"...)
-	} else {
+	case length < 0: // its end is the link's
+		l.ending, l.endless = true, true
+	default:
 		out = append(out, "\r\nContent-Length: "...)
 		out = strconv.AppendInt(out, int64(length), 10)
 	}
@@ -229,6 +234,9 @@
 	}
 	l.down, l.current = nil, nil
 	if !whole {
+		if l.endless { // a proper end would make it look whole
+			_ = unix.SetsockoptLinger(l.c.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		}
 		l.shut()
 		return
 	}
--- a/internal/service/large_test.go
+++ b/internal/service/large_test.go
@@ -121,6 +121,33 @@
 	}
 }
 
+// TestAnOldClientGetsNoChunks: an answer of unknown length ends with its link, and one that
+// breaks does not end like that.
+func TestAnOldClientGetsNoChunks(t *testing.T) {
+	for name, whole := range map[string]bool{"whole": true, "broken": false} {
+		t.Run(name, func(t *testing.T) {
+			body := pattern(300 << 10)
+			addr, _ := worker(t, func(_ int, s *seen) bool {
+				fmt.Fprintf(s.c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+				if whole {
+					_, _ = io.WriteString(s.c, "0\r\n\r\n")
+				}
+				return whole
+			})
+			c := open(t, nil, addr).dial()
+			c.send(strings.Replace(cuota("mayor", 900), "HTTP/1.1", "HTTP/1.0", 1))
+			res, err := http.ReadResponse(c.r, nil)
+			if err != nil || len(res.TransferEncoding) > 0 {
+				t.Fatalf("%v %v", res, err)
+			}
+			got, err := io.ReadAll(res.Body)
+			if whole != (err == nil) || whole && !bytes.Equal(got, body) {
+				t.Fatalf("%d bytes, %v", len(got), err)
+			}
+		})
+	}
+}
+
 // TestASlowReaderHoldsItsWorkerBack: of an answer far over the memory only a window is
 // held, and all of it arrives.
 func TestASlowReaderHoldsItsWorkerBack(t *testing.T) {
