--- a/policy/policy.go
+++ b/policy/policy.go
@@ -316,8 +316,8 @@
 		return
 	}
 	q := &request{id: r.ID, class: &g.classes[r.Class], plan: &g.plans[r.Plan], cust: g.customer(r),
-		units: r.Units, filling: r.Filling, level: g.levels[r.Class][r.Plan], arrived: now, deadline: now + r.Left,
-		halfway: now + r.Left/2 - 2*max(g.set.Tick, milli)}
+		units: r.Units, filling: r.Filling, level: g.levels[r.Class][r.Plan], arrived: now,
+		deadline: now + r.Left, halfway: now + r.Left/2 - 2*max(g.set.Tick, milli)}
 	g.reqs[r.ID] = q
 	q.arrived -= g.waited(q.class, r.Left, r.Again)
 	if g.late(q) {
