Mend two ends of a replacement: an offer that takes long, a new process that dies late

Read over: draws that found no room while an offer was under way were dropped, and the new process's ceilings would not have known them; the offer is withdrawn now. And a new process that died after SIGTERM to the old one had that begin to serve again, so that it never ended.

--- a/internal/service/replace.go
+++ b/internal/service/replace.go
@@ -202,7 +202,7 @@
 func (s *service) offer(c config.Config, m *handover.Meeting) {
 	var o handover.Offer
 	var ln *link.Listener
-	early := make(chan policy.Draw, earlyMost) // drawn before the peer can be told
+	early, missed := make(chan policy.Draw, earlyMost), false // drawn before the peer can be told
 	s.on(func() {
 		if s.heir != nil { // it has not taken over, and will not
 			s.heir.Close()
@@ -213,7 +213,8 @@
 			s.drew(nil, d)
 			select {
 			case early <- d:
-			default: // the offer takes far too long; the peer's hello has a time limit
+			default:
+				missed = true
 			}
 		})}
 	})
@@ -224,6 +225,11 @@
 		return
 	}
 	s.on(func() {
+		if missed { // its books would not hold
+			peer.Close()
+			s.share()
+			return
+		}
 		for len(early) > 0 {
 			peer.Draw(<-early)
 		}
@@ -301,6 +307,10 @@
 			s.before = nil
 			s.share()
 			slog.Info("handover: the process before has ended")
+		case p == s.heir && s.leaving && s.stopping:
+			s.heir = nil
+			s.share()
+			slog.Error("handover: the new process has ended, and this one was told to", "error", err)
 		case p == s.heir && s.leaving: // nobody else accepts
 			s.heir, s.leaving = nil, false
 			s.share()
--- a/internal/service/replace_test.go
+++ b/internal/service/replace_test.go
@@ -306,6 +306,33 @@
 	heir.exit()
 }
 
+// TestOneToldToEndEndsThoughTheNewOneDies: it does not begin to serve again.
+func TestOneToldToEndEndsThoughTheNewOneDies(t *testing.T) {
+	s := easy(t, settingsText)
+	now := s.run(true)
+	for range 5 { // that stay open if they may
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	load := s.traffic()
+	load.more(t, 20)
+	heir := s.run(true)
+	now.signal(syscall.SIGTERM)
+	for until := time.Now().Add(patience); now.says() == 200; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the old process says that it serves")
+		}
+	}
+	heir.signal(syscall.SIGKILL)
+	<-heir.ended
+	now.exit()
+	close(load.stop)
+	load.all.Wait()
+}
+
 // TestAFileThatIsTurnedDownReplacesNobody: the process in service goes on by the old one.
 func TestAFileThatIsTurnedDownReplacesNobody(t *testing.T) {
 	s := easy(t, settingsText)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -98,6 +98,7 @@
 	before   *handover.Peer   // the process whose place this one took, while it has not ended
 	heir     *handover.Peer   // the one that is to take, or has taken, the place of this one
 	leaving  bool             // it has
+	stopping bool             // SIGTERM has come
 	ended    bool
 }
 
@@ -410,7 +411,10 @@
 // returns once nothing can be owed any more.
 func (s *service) drain() {
 	began := time.Now()
-	s.loop.Post(s.clients.Drain)
+	s.loop.Post(func() {
+		s.stopping = true
+		s.clients.Drain()
+	})
 	time.Sleep(closeIdle)
 	for {
 		left := make(chan int)
