--- a/internal/service/replace_test.go
+++ b/internal/service/replace_test.go
@@ -256,6 +256,17 @@
 	return newSite(t, strings.Replace(set, `"refill":500,"burst":500`, `"refill":50000,"burst":50000`, 1), addrs...)
 }
 
+// becomes waits until something holds that must come to hold, and says what is amiss where it
+// does not.
+func becomes(t *testing.T, amiss string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal(amiss)
+		}
+	}
+}
+
 // TestTwoReplacementsInARowLoseNothing, under load, with SIGHUP to both meanwhile.
 func TestTwoReplacementsInARowLoseNothing(t *testing.T) {
 	s := easy(t, settingsText)
@@ -292,11 +303,7 @@
 	load := s.traffic()
 	load.more(t, 20)
 	heir := s.run(false)
-	for until := time.Now().Add(patience); heir.says() == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("no door")
-		}
-	}
+	becomes(t, "no door", func() bool { return heir.says() != 0 })
 	now.signal(syscall.SIGTERM)
 	heir.yes()
 	now.exit()
@@ -321,11 +328,7 @@
 	load.more(t, 20)
 	heir := s.run(true)
 	now.signal(syscall.SIGTERM)
-	for until := time.Now().Add(patience); now.says() == 200; time.Sleep(time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("the old process says that it serves")
-		}
-	}
+	becomes(t, "the old process says that it serves", func() bool { return now.says() != 200 })
 	heir.signal(syscall.SIGKILL)
 	<-heir.ended
 	now.exit()
@@ -469,11 +472,7 @@
 func TestTheOldOneMayDieBeforeTheNewOneServes(t *testing.T) {
 	s := newSite(t, settingsText) // no worker: a new process waits to be ready
 	now := s.run(false)
-	for until := time.Now().Add(patience); now.says() != 503; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("no door")
-		}
-	}
+	becomes(t, "no door", func() bool { return now.says() == 503 })
 	for until := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 		if _, err := os.Stat(handover.Path(s.tmp, s.listen)); err == nil {
 			break
@@ -483,11 +482,7 @@
 		}
 	}
 	heir := s.run(false)
-	for until := time.Now().Add(patience); heir.says() != 503; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("no door")
-		}
-	}
+	becomes(t, "no door", func() bool { return heir.says() == 503 })
 	now.signal(syscall.SIGKILL)
 	<-now.ended
 	for until := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
