Start where the system refuses Unix sockets: a datagram socket anchors the loop

The meeting of two processes was ruled out: its refused Unix socket is taken for a stale one and costs nothing.

Change: where the pair is refused, with one log line, a datagram socket that is tied to a reserved port of this machine and sends nothing is enrolled. The loop is taken from the connection that gnet returns, as it does not tell of datagram sockets' opening.

--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -54,7 +55,6 @@
 	events  gnet.EventLoop
 	alarm   *time.Timer
 	ring    func()
-	ready   chan struct{}
 	stopped atomic.Bool
 	turns   turns
 	dirty   []flusher // links with something to write
@@ -71,7 +71,7 @@
 
 // NewLoop starts an event loop whose sockets stay within the budget.
 func NewLoop(b *Budget) (*Loop, error) {
-	l := &Loop{Budget: b, ready: make(chan struct{})}
+	l := &Loop{Budget: b}
 	client, err := gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
 		gnet.WithWriteBufferCap(readBuffer), gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
@@ -90,34 +90,58 @@
 
 const readBuffer = 64 << 10
 
-// anchor enrols one end of a socket pair: gnet gives its event loop out with a
-// connection only, and calls from other goroutines need it before the first.
+// anchor enrols a connection that nothing ever comes on: gnet gives its event loop out
+// with a connection only, and calls from other goroutines need it before the first.
 func (l *Loop) anchor() error {
-	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	c, held, err := quietPair()
 	if err != nil {
-		return err
+		slog.Info("loop: no Unix sockets here, a datagram socket holds its place", "error", err)
+		if c, err = quietDatagrams(); err != nil {
+			return err
+		}
 	}
-	file := os.NewFile(uintptr(fds[0]), "anchor")
-	defer file.Close()
-	c, err := net.FileConn(file)
+	g, err := l.client.EnrollContext(c, anchor{held})
 	if err != nil {
 		return err
 	}
-	if _, err := l.client.EnrollContext(c, &anchor{loop: l, peer: fds[1]}); err != nil {
-		return err
-	}
-	<-l.ready
+	l.events = g.EventLoop()
 	return nil
 }
 
+// quietPair is one end of a pair of Unix sockets, and the other.
+var quietPair = func() (net.Conn, io.Closer, error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	near, far := os.NewFile(uintptr(fds[0]), "anchor"), os.NewFile(uintptr(fds[1]), "anchor")
+	defer near.Close()
+	c, err := net.FileConn(near)
+	if err != nil {
+		far.Close()
+		return nil, nil, err
+	}
+	return c, far, nil
+}
+
+// quietDatagrams is a socket that takes datagrams from one reserved port of this machine
+// alone, and sends none.
+func quietDatagrams() (net.Conn, error) {
+	const discard = 9
+	return net.DialUDP("udp4", nil, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: discard})
+}
+
 type anchor struct {
-	loop *Loop
-	peer int // held open for the life of the loop
+	held io.Closer // for the life of the loop; nil for datagrams
 }
 
-func (a *anchor) opened(c conn)  { a.loop.events = c.(enrolled).EventLoop(); close(a.loop.ready) }
-func (a *anchor) traffic([]byte) {}
-func (a *anchor) closed(error)   { _ = syscall.Close(a.peer) }
+func (a anchor) opened(conn)    {}
+func (a anchor) traffic([]byte) {}
+func (a anchor) closed(error) {
+	if a.held != nil {
+		_ = a.held.Close()
+	}
+}
 
 // Post runs do on the loop. Any goroutine may call it.
 func (l *Loop) Post(do func()) {
