--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,17 +47,15 @@
 	totalSlack  = 1.001      // totals come with seven digits
 
 	// The bound on attempts in flight.
-	startPerServer = 5.0    // a server, for all gateways together: the start
-	mostPerServer  = 24.0   // the bound does not rise past this
-	leastPerServer = 3.0    // a server, for all gateways: the bound is not cut below its part
-	growWithin     = 0.25   // of the aim: faster answers let the bound rise
-	growStep       = 2.0    // over the bound is added to it by a quick answer
-	growMost       = 0.05   // of the bound is added by an answer at most
-	cutPast        = 0.4    // of the aim: slower answers on average cut it
-	stretchGain    = 0.03   // weight of the newest answer in that average at least,
-	stretchMost    = 0.2    // at most, and such
-	stretchFor     = second // that so much time settles it
-	ownPart        = 0.4    // of the aim at most is set aside for the answer itself
+	startPerServer = 5.0  // a server, for all gateways together: the start
+	mostPerServer  = 24.0 // the bound does not rise past this
+	leastPerServer = 3.0  // a server, for all gateways: the bound is not cut below its part
+	growWithin     = 0.25 // of the aim: faster answers let the bound rise
+	growStep       = 2.0  // over the bound is added to it by a quick answer
+	growMost       = 0.05 // of the bound is added by an answer at most
+	cutPast        = 0.4  // of the aim: slower answers on average cut it
+	stretchGain    = 0.03 // weight of the newest answer in that average
+	ownPart        = 0.4  // of the aim at most is set aside for the answer itself
 	stretchSettles = 50
 	idleForget     = 60 * second
 	knee           = 1.3   // times the least latency seen: the bound rises no more
@@ -738,9 +736,7 @@
 		cl.lat += (lat - cl.lat) * gain
 		s.rel = g.relOf(s) + (min(r, relWorst)-g.relOf(s))*relGain
 		s.relAt = g.now
-		passed := float64(g.now-g.idleAt) / float64(stretchFor) // answers may come seldom
-		weight := min(max(passed, stretchGain), stretchMost)
-		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * weight
+		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * stretchGain
 		if g.answers++; g.answers == stretchSettles || g.stretch < g.idle {
 			g.idle = g.stretch
 		}
@@ -806,8 +802,7 @@
 func (g *Gateway) watch() {
 	g.stuck = 0
 	for _, s := range g.servers {
-		few := 1 + 1/float64(max(s.open, 1)) // one request alone may be a heavy one
-		most := max(lostFactor*few*g.typical()*g.relOf(s), lostLeast*float64(g.capWindow))
+		most := max(lostFactor*g.typical()*g.relOf(s), lostLeast*float64(g.capWindow))
 		if g.silence(s) < most || float64(g.now-g.answered) > most {
 			continue
 		}
@@ -887,6 +882,11 @@
 		if s.trial { // one that has not proved itself is the last choice
 			cost *= trialCost
 		}
+		for i := range q.attempts {
+			if q.attempts[i].srv == s {
+				cost *= 4
+			}
+		}
 		u := g.random()
 		cost *= (1 + costNoise*u) * math.Pow(-math.Log(1-u), chance)
 		if cost < bestCost {
