--- a/gatekeeper/hours_test.go
+++ b/gatekeeper/hours_test.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"strconv"
 	"testing"
 
 	"foxwood/policy"
@@ -25,7 +26,7 @@
 	hour := func() {
 		for half := range 7200 {
 			customer++
-			r.Take(&Request{Customer: customer, Left: 1000, Units: 2, Spread: 60, Caller: r, Name: string(rune(customer))})
+			r.Take(&Request{Customer: customer, Left: 1000, Units: 2, Spread: 60, Caller: r, Name: strconv.FormatUint(customer, 16)})
 			for ms := 0; ms < 500; ms += 50 {
 				r.wait(50)
 				for len(r.calls) > 0 {
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -38,7 +38,6 @@
 	conn
 	Dup() (int, error)
 	SetContext(any)
-	EventLoop() gnet.EventLoop
 }
 
 // endpoint is the object behind one connection. Its methods run on the loop.
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -17,13 +17,13 @@
 	totals map[uint64]float64
 	at     Micros
 	id     uint32
-	all    int  // attempts of all gateways
-	down   bool // the counter answers nobody
-	calls  int  // to the counter
-	lost   int  // of them, without an answer
-	most   int  // calls a second that the counter bears, 0 for any number
-	began  Micros
-	borne  int // in that second
+	all    int    // attempts of all gateways
+	down   bool   // the counter answers nobody
+	calls  int    // to the counter
+	lost   int    // of them, without an answer
+	most   int    // calls a second that the counter bears, 0 for any number
+	began  Micros // the second that calls are counted in
+	borne  int    // calls in it
 
 	settled float64 // true units of a request, where they are told
 }
@@ -127,7 +127,7 @@
 	}
 }
 
-// thin is a plan whose even part of a store, over so many gateways, holds no request.
+// thin is settings with a plan whose even part of a store, over many gateways, holds no request.
 func thin() Settings {
 	s := settings()
 	s.Plans = []Plan{{Rate: 4, Burst: 12, Price: 1, OverCost: 1}}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -13,7 +13,7 @@
 
 // SnapshotVersion changes with the records in state.go. A snapshot of another version is
 // not taken: half a state would decide otherwise than the whole one.
-const SnapshotVersion = 2
+const SnapshotVersion = 3
 
 // Snapshot is the state of a module between two calls.
 type Snapshot struct {
