Draw thin stores by windows on the counter, and lease what a thin ceiling does not keep

(2) A ceiling split evenly over seven gateways holds 13 units of 93 and fills at a seventh, while requests of up to 6 units come through the busiest of them (admit, beyond).

A thin store of more than four gateways is drawn on as thin caps were: a window of 0.8 of the time it fills in passes a burst (terms). Of a thin ceiling half of our even part is ours, the rest is leased by windows of a third of its fill (let, leased): two windows and the longest hold after a lease are no more than its store. What can't draw and was lately seen to spend a window is refused; others are let on while the counter is crowded.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,11 +29,10 @@
 		MarksRetry bool `json:"marks-retry"`
 	} `json:"clients"`
 	Info struct {
-		CountLimit  int64   `json:"count-limit-us"`
-		Largest     float64 `json:"largest"`
-		MeterPeriod int64   `json:"metering-us"`
-		Settles     bool    `json:"settles"`
-		Counter     bool    `json:"shared-counter"`
+		CountLimit int64   `json:"count-limit-us"`
+		Largest    float64 `json:"largest"`
+		Settles    bool    `json:"settles"`
+		Counter    bool    `json:"shared-counter"`
 	} `json:"family-info"`
 	Limits struct {
 		Cancelling  bool  `json:"cancelling"`
@@ -103,14 +102,12 @@
 	}
 	s := policy.Settings{
 		Self: p.SelfIndex, Gateways: p.Siblings, Zone: p.Locality, Tick: p.Tick,
-		Weights:      p.Weights != "" && p.Weights != "off",
-		MaxAttempts:  p.Limits.MaxAttempts,
-		Cancel:       p.Limits.Cancelling,
-		MarksRepeats: p.Clients.MarksRetry,
-		RetryAfter:   p.Limits.RetryAfter,
-		Counter:      p.Info.Counter, CounterTimeout: p.Info.CountLimit,
-		MeterPeriod: p.Info.MeterPeriod,
-		Settles:     p.Info.Settles, Largest: p.Info.Largest,
+		Weights:     p.Weights != "" && p.Weights != "off",
+		MaxAttempts: p.Limits.MaxAttempts,
+		Cancel:      p.Limits.Cancelling,
+		RetryAfter:  p.Limits.RetryAfter,
+		Counter:     p.Info.Counter, CounterTimeout: p.Info.CountLimit,
+		Settles: p.Info.Settles, Largest: p.Info.Largest,
 		ColdShare: p.Obligations.StartCapacity, FallMultiple: p.Obligations.FallMultiple,
 		ColdFor: p.Obligations.WarmAfter, FallWindow: p.Obligations.Fall,
 		CrossZonePrice: p.Tariffs.CrossZone,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,11 +18,8 @@
 
 	// Policing.
 	counterPeriod = second // of the measure of our part of a customer's use
-	ringParts     = 4      // slots of a period in a customer's record of its own use
-	ringPeriods   = 6      // periods kept in it
-	shareGain     = 0.3    // weight of the newest metered period in the share
-	stalePeriods  = 4      // periods without news after which a share is back at the floor
-	meterLag      = 0.5    // periods between a metered period's end and its first sight
+	shareGain     = 0.3    // weight of the newest period in the share
+	stalePeriods  = 4      // periods without a total after which a share is back at the floor
 	idleAge       = 20 * second
 
 	// The shared store on the counter.
@@ -30,7 +27,6 @@
 	storeKeep   = 0.2         // of the burst must be left to let in without asking
 	storeTell   = 0.4         // of our even part of a store is used before the counter is told
 	storeAsk    = second / 10 // between two calls for a store that is spent
-	storeRest   = 3 * second  // after which the counter is told of the least use
 	storeSmooth = 1.0         // seconds over which the others' use is smoothed
 	storeLeast  = 0.25        // of the largest request a store may be below nothing by our measure
 
@@ -39,12 +35,14 @@
 	callGrow    = 0.3        // of all draws come back in a second,
 	callBack    = 0.01       // and at an answer at most, so about one call in ten fails,
 	callDown    = 3 * second // but for the first answer after so long without one
-	grantGain   = 0.05       // weight of the newest draw in the part granted
 	unknownWait = second / 4 // advised where the counter could not be asked
 	holdGain    = 0.05       // weight of the newest attempt in how long a plan's attempts are out
 	callLeast   = 0.2        // of the draws look for a counter that is down
 	capFill     = 0.7        // of a cap is out on average when a window is used up
 	totalSlack  = 1.001      // totals come with seven digits
+	drawWindow  = 0.8        // of the time in which a thin store fills: a window, which passes a burst
+	leaseOwn    = 0.5        // of our even part of a thin ceiling is ours; the rest is leased by windows,
+	leaseParts  = 3          // so many in the time in which a ceiling's store fills
 
 	// The bound on attempts in flight.
 	startPerServer = 5.0  // a server, for all gateways together: the start
@@ -65,8 +63,7 @@
 
 	// Repeats.
 	fullGain   = 0.02 // weight of the newest try in the part that has the longest left
-	fullLeast  = 0.3  // of a class's tries must have it,
-	fullMarked = 0.8  // and of first tries, where they can be told
+	fullMarked = 0.8  // of a class's first tries must have it
 	lateLeast  = 0.5  // of the worth must remain past the aim for a late repeat to be let in
 
 	// Servers.
@@ -96,20 +93,19 @@
 	step = 10 * milli // pace of the housekeeping tick
 )
 
-// Kinds of timer token.
+// Kinds of timer token, and what is drawn from the counter.
 const (
 	tokenTick = iota
 	tokenGiveUp
+
+	drawUnits = 0 // of a store, or places of a cap
+	drawLease = 1 // units of a ceiling
 )
 
 // New makes a gateway from its settings. The seed makes its choices its own.
 func New(s Settings, seed uint64) *Gateway {
 	g := &Gateway{set: s, rng: seed | 1, reqs: map[uint32]*request{}, customers: map[uint64]*customer{},
 		draws: map[uint64][]drawn{}, calls: 1, byID: map[Server]*server{}}
-	g.period = counterPeriod
-	if s.MeterPeriod > 0 {
-		g.period = s.MeterPeriod
-	}
 	g.wheel = make([][]*customer, counterPeriod/step)
 	for _, c := range s.Classes {
 		g.classes = append(g.classes, classState{Class: c, lat: float64(c.Aim) / 4})
@@ -120,7 +116,7 @@
 	}
 	g.capWindow = max(g.capWindow, milli)
 	for i, p := range s.Plans {
-		g.plans = append(g.plans, planState{Plan: p, index: i, granted: 1, holds: float64(g.capWindow)})
+		g.plans = append(g.plans, planState{Plan: p, index: i, holds: float64(g.capWindow)})
 	}
 	g.rankLevels()
 	return g
@@ -149,16 +145,16 @@
 // Start begins the gateway's life.
 func (g *Gateway) Start(now Micros, do Host) {
 	g.enter(now, do)
-	g.born, g.lastRate, g.pubAt, g.wheelAt = now, now, now, now/step
+	g.born, g.lastRate, g.wheelAt = now, now, now/step
 	do.Timer(tokenTick<<32, step)
 }
 
 // ---- policing ----
 
-// currentShare is the part of the quota that is ours: what the meter or counter
-// said last, or the even part where they are silent.
+// currentShare is the part of the quota that is ours: by what the counter said last,
+// or the even part where it is silent.
 func (g *Gateway) currentShare(c *customer) float64 {
-	if g.now-c.shareAt > stalePeriods*g.period {
+	if g.now-c.shareAt > stalePeriods*counterPeriod {
 		return 1 / c.spread
 	}
 	return c.share
@@ -181,11 +177,8 @@
 // admit takes a request's units from its customer's bucket, or tells how long
 // the client should stay away.
 func (g *Gateway) admit(q *request) (bool, Micros) {
-	c, p := q.cust, q.plan
+	c := q.cust
 	g.refill(c)
-	if p.CeilingRate > 0 && c.guard < q.units {
-		return false, waitFor(q.units-c.guard, p.CeilingRate/c.spread)
-	}
 	if rate := g.rate(c); rate > 0 {
 		// A request larger than our part of the store passes a full bucket.
 		if need := min(q.units, g.store(c)); c.tokens < need {
@@ -193,7 +186,6 @@
 		}
 		g.take(q)
 	}
-	g.reserve(q)
 	return true, 0
 }
 
@@ -227,12 +219,10 @@
 	case q.done: // the client left meanwhile
 	case g.beyond(q):
 	case st != OK:
-		g.guess(q)
+		g.police(q)
 	case c.level >= q.units:
-		q.plan.granted += (1 - q.plan.granted) * grantGain
 		g.grant(q)
 	default:
-		q.plan.granted -= q.plan.granted * grantGain
 		g.refuse(q, waitFor(q.units-c.level, q.plan.Rate))
 		if d.booked > 0 {
 			g.call(c, nil) // gives it back
@@ -243,14 +233,43 @@
 // grant lets on what the shared store has the units for.
 func (g *Gateway) grant(q *request) {
 	g.take(q)
-	g.reserve(q)
-	g.enqueue(q)
+	g.let(q)
+}
+
+// let lets on what its quota has the units for, if the ceiling has them: our own part of it,
+// or what the counter leases of the rest.
+func (g *Gateway) let(q *request) {
+	switch rate, _ := g.ceiling(q.cust); {
+	case rate <= 0 || q.cust.guard >= q.units:
+		g.reserve(q)
+		g.enqueue(q)
+	case !g.leased(q.plan) || !g.draw(q, drawLease):
+		g.refuse(q, waitFor(q.units-q.cust.guard, rate))
+	}
+}
+
+// leased tells that a ceiling's even parts hold less than one of the largest requests, so
+// that a part of it is leased from the counter. What two windows pass, and what comes in
+// for the longest that a request is held after its lease, is no more than the ceiling's
+// store holds, however often gateways are born and whatever each of them knows.
+func (g *Gateway) leased(p *planState) bool {
+	return g.set.Counter && p.CeilingRate > 0 && (1-leaseOwn)*p.CeilingBurst/leaseParts >= g.set.Largest &&
+		p.CeilingBurst < float64(g.set.Gateways)*g.set.Largest
+}
+
+// ceiling is the part of a customer's ceiling that is ours without a lease.
+func (g *Gateway) ceiling(c *customer) (rate, burst float64) {
+	part := 1 / c.spread
+	if g.leased(c.plan) {
+		part *= leaseOwn
+	}
+	return c.plan.CeilingRate * part, c.plan.CeilingBurst * part
 }
 
 // tellUse runs once a second for each customer: the counter learns of what is untold.
 func (g *Gateway) tellUse(c *customer) {
 	much := math.Abs(c.untold) > max(storeTell/4*c.plan.Burst/c.spread, storeLeast*g.set.Largest)
-	if much && g.random() < g.calls || c.untold != 0 && g.calls == 1 && g.now-c.toldAt > storeRest {
+	if much && g.random() < g.calls {
 		g.call(c, nil)
 	}
 }
@@ -271,25 +290,13 @@
 		return
 	}
 	if !g.mayCall(q) {
-		g.guess(q)
+		g.police(q)
 		return
 	}
 	g.await(q)
 	g.call(c, q)
 }
 
-// guess judges a try by the shared store that the counter says nothing of. Where our slice
-// is too thin for single tries, and the counter only crowded, they go by what we know.
-func (g *Gateway) guess(q *request) {
-	switch thin := g.thin(q.cust); {
-	case thin && g.unknown(q):
-	case thin && g.now-g.callAt < callDown && q.cust.level >= q.units:
-		g.grant(q)
-	default:
-		g.police(q)
-	}
-}
-
 // mayCall tells whether a request may wait for the counter: rule 1, the answer may
 // come later than its client waits.
 func (g *Gateway) mayCall(q *request) bool {
@@ -346,27 +353,29 @@
 	case g.beyond(q):
 	case g.shared(q.cust):
 		g.ask(q)
-	case q.plan.Open > 0 && g.thin(q.cust) && g.draw(q):
+	case g.thin(q.cust):
+		if !g.draw(q, drawUnits) {
+			g.guess(q)
+		}
 	default:
 		g.police(q)
 	}
 }
 
-// beyond refuses a try that our part of the ceiling has no room for.
+// beyond refuses a try that the ceiling has no room for by what we know.
 func (g *Gateway) beyond(q *request) bool {
-	c, p := q.cust, q.plan
-	g.refill(c)
-	if p.CeilingRate <= 0 || c.guard >= q.units {
+	g.refill(q.cust)
+	if q.plan.CeilingRate <= 0 || q.cust.guard >= q.units || g.leased(q.plan) {
 		return false
 	}
-	g.refuse(q, waitFor(q.units-c.guard, p.CeilingRate/c.spread))
+	g.let(q) // refuses
 	return true
 }
 
 // police lets a request on that its customer's bucket has units for.
 func (g *Gateway) police(q *request) {
 	if ok, wait := g.admit(q); ok {
-		g.enqueue(q)
+		g.let(q)
 	} else {
 		g.refuse(q, wait)
 	}
@@ -386,101 +395,112 @@
 	}
 }
 
-// pool is what thin caps draw on: a name on the counter stands for a customer and a
-// window of time, and passes so many attempts in it that few more than the cap are
-// out at once, as long as they last by our measure.
-func (g *Gateway) pool(p *planState) float64 {
-	return max(capFill*float64(p.Open)*float64(g.capWindow)/max(p.holds, 1), 1)
+// terms are how a thin store, cap or ceiling is drawn on: a name on the counter stands for a
+// customer and a window of time. Of a store a window passes a burst; of a cap so many attempts
+// that few more are out at once, as long as they last by our measure. Customers' windows end
+// at different moments.
+func (g *Gateway) terms(c *customer, kind int) (n, window Micros, pool float64) {
+	p := c.plan
+	switch {
+	case kind == drawLease:
+		window = Micros(p.CeilingBurst / p.CeilingRate / leaseParts * 1e6)
+		pool = (1 - leaseOwn) * p.CeilingBurst / leaseParts
+	case p.Open > 0:
+		window, pool = g.capWindow, max(capFill*float64(p.Open)*float64(g.capWindow)/max(p.holds, 1), 1)
+	default:
+		window, pool = Micros(drawWindow*p.Burst/p.Rate*1e6), p.Burst
+	}
+	window = max(window, milli)
+	return (g.now + Micros(mix(c.key, 0)%uint64(window))) / window, window, pool
 }
 
-// thin tells that our even part of a customer's store or cap holds less than one of
-// the largest requests, so that it can't judge single ones.
+// thin tells that our even part of a customer's store or cap holds less than one of the
+// largest requests, and that we see too little of it to know the store between two totals.
 func (g *Gateway) thin(c *customer) bool {
 	if c.plan.Open > 0 {
 		return g.set.Counter && float64(c.plan.Open) < c.spread
 	}
-	return g.set.Counter && c.plan.Rate > 0 && c.plan.Burst < c.spread*max(g.set.Largest, 1)
+	return g.set.Counter && c.plan.Rate > 0 && c.spread > ownGateways &&
+		c.plan.Burst < c.spread*max(g.set.Largest, 1)
 }
 
-// draw asks the counter for one of the attempts that a thin cap passes; false leaves
-// it to the slice. It guards against hundreds of first tries, each let in by a slice
-// that knows nothing.
-func (g *Gateway) draw(q *request) bool {
-	c := q.cust
-	phase := Micros(mix(c.key, 0) % uint64(g.capWindow)) // customers' windows end at different moments
-	n := (g.now + phase) / g.capWindow
-	if n == c.spent {
-		g.refuse(q, (n+1)*g.capWindow-phase-g.now)
+// draw asks the counter for what a request draws, or refuses it at once where that is known
+// to be spent; false tells that the counter can't be asked.
+func (g *Gateway) draw(q *request, kind int) bool {
+	n, window, _ := g.terms(q.cust, kind)
+	if n == q.cust.spent[kind] {
+		g.refuse(q, window/2)
 		return true
 	}
 	if !g.mayCall(q) {
-		return g.unknown(q)
+		return false
+	}
+	amount := q.units
+	if kind == drawUnits && q.plan.Open > 0 {
+		amount = 1
 	}
-	g.reserve(q)
 	g.await(q)
-	name := mix(c.key, uint64(n)|1<<63)
-	g.draws[name] = append(g.draws[name], drawn{q: q, n: n})
-	g.do.Count(name, 1, 2*g.capWindow)
+	name := mix(q.cust.key, uint64(n)|uint64(2+kind)<<62)
+	g.draws[name] = append(g.draws[name], drawn{q: q, n: n, kind: kind})
+	g.do.Count(name, amount, 2*window)
 	return true
 }
 
-// unknown refuses a try that could not draw where the part of the plan's draws
-// that are granted says that letting it in costs more than it earns.
-func (g *Gateway) unknown(q *request) bool {
-	p := q.plan
-	if p.granted*(1+p.OverCost) >= p.OverCost {
-		return false
+// guess judges a try that could not draw. Who was seen to spend this window or the last is
+// refused. Where the counter is only crowded others are let on: our slice would hold nothing
+// for most of them, and most are inside their quotas.
+func (g *Gateway) guess(q *request) {
+	switch n, window, _ := g.terms(q.cust, drawUnits); {
+	case n-q.cust.spent[drawUnits] <= 1:
+		g.refuse(q, window/2)
+	case q.plan.Open == 0 && g.now-g.callAt < callDown:
+		g.let(q)
+	default:
+		g.police(q)
 	}
-	g.refuse(q, unknownWait)
-	return true
 }
 
 func (g *Gateway) drew(d drawn, st Status, total float64) {
 	q := d.q
 	q.drawing = false
+	_, window, pool := g.terms(q.cust, d.kind)
 	switch {
 	case q.done: // the client left meanwhile
+	case st != OK && d.kind == drawLease:
+		g.refuse(q, unknownWait)
 	case st != OK:
-		g.giveBack(q)
-		if !g.unknown(q) {
-			g.police(q)
-		}
-	case total <= g.pool(q.plan)*totalSlack:
-		q.plan.granted += (1 - q.plan.granted) * grantGain
+		g.guess(q)
+	case total > pool*totalSlack:
+		q.cust.spent[d.kind] = d.n
+		g.refuse(q, window/2)
+	case d.kind == drawLease:
+		q.leasedAt = g.now
 		g.enqueue(q)
 	default:
-		q.plan.granted -= q.plan.granted * grantGain
-		q.cust.spent = d.n
-		g.refuse(q, g.capWindow/2)
+		g.let(q)
 	}
 }
 
-// waited is how long a client has been at it before this try, where left tells.
-// Most tries of a class have the longest left seen; one that has less than that
-// is a repeat which the class's deadline cuts short. It guards against quota and
-// room spent on answers that come past the aim anyway. It acts only while the
-// longest left is common, so odd patience of single clients is not misread; where
-// clients mark their repeats it acts on those alone, and learns from the others.
+// waited is how long a client has been at it before this try, where it is marked as a
+// repeat and left tells: first tries have the longest left seen, and a repeat less than that
+// where the class's deadline cuts it short. It guards against quota and room spent on
+// answers that come past the aim anyway. It acts only while most first tries have the
+// longest left, so that odd patience of single clients is not misread.
 func (g *Gateway) waited(cl *classState, left Micros, again bool) Micros {
-	least := fullLeast
-	if g.set.MarksRepeats {
-		least = fullMarked
-	}
 	if left > cl.longest {
 		cl.longest, cl.full = left, 0.5
 	}
 	short := left < cl.longest-cl.longest/64
 	switch {
+	case again && short && cl.full >= fullMarked:
+		return max(cl.Deadline-left, 0)
 	case again:
 	case short:
 		cl.full -= cl.full * fullGain
 	default:
 		cl.full += (1 - cl.full) * fullGain
 	}
-	if !short || cl.full < least || g.set.MarksRepeats && !again {
-		return 0
-	}
-	return max(cl.Deadline-left, 0)
+	return 0
 }
 
 // byTurns rounds a part of something shared: in each turn so many of all gateways round
@@ -512,6 +532,10 @@
 	last := q.deadline - 2*max(g.set.Tick, milli)
 	if !q.sent { // a refusal costs the client less while it has half of its time left
 		last = min(last, q.halfway)
+		if q.leasedAt > 0 { // its units lapse
+			_, window, _ := g.terms(q.cust, drawLease)
+			last = min(last, q.leasedAt+(leaseParts-2)*window-g.set.CounterTimeout)
+		}
 	}
 	return min(q.arrived+q.class.Aim-Micros(own), last)
 }
@@ -564,7 +588,9 @@
 	left := q.deadline - g.now
 	if !q.sent {
 		q.sent = true
-		q.cust.pending -= q.units
+		if q.admitted {
+			q.cust.pending -= q.units
+		}
 		g.note(q.cust, q.units)
 	}
 	g.openAttempt(q, s, min(max(q.class.expect(q.units)/g.typical(), loadLeast), loadMost))
@@ -588,7 +614,6 @@
 	q.plan.holds += (float64(now-a.sent) - q.plan.holds) * holdGain
 	g.judge(a, o)
 	c := q.cust
-	g.metered(c, o.Used)
 	if o.Status == OK && o.Settled > 0 && g.set.Settles && !q.done {
 		c.tokens -= o.Settled - q.units
 		c.level -= o.Settled - q.units
--- a/policy/recover.go
+++ b/policy/recover.go
@@ -35,7 +35,7 @@
 		}
 	}
 	for i, p := range s.Plans {
-		g.plans[i].holds, g.plans[i].granted = p.Holds, p.Granted
+		g.plans[i].holds = p.Holds
 	}
 	for _, at := range s.Listed {
 		g.recoverCustomer(&s.Clients[at], s.Now, exact)
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -13,7 +13,7 @@
 
 // SnapshotVersion changes with the records in state.go. A snapshot of another version is
 // not taken: half a state would decide otherwise than the whole one.
-const SnapshotVersion = 3
+const SnapshotVersion = 4
 
 // Snapshot is the state of a module between two calls.
 type Snapshot struct {
@@ -50,7 +50,7 @@
 	LastRate           Micros
 	Sends, Dones       int
 	Calls              float64
-	CallAt, PubAt      Micros
+	CallAt             Micros
 	CapWindow          Micros // of the classes at the start
 }
 
@@ -69,7 +69,7 @@
 }
 
 // PlanRecord is what is learned of a plan.
-type PlanRecord struct{ Holds, Granted float64 }
+type PlanRecord struct{ Holds float64 }
 
 // AttemptRecord is one attempt of a request.
 type AttemptRecord struct {
@@ -94,6 +94,7 @@
 	RanOn                      int // server, -1 where none
 	RanAt                      Micros
 	Taken                      float64
+	LeasedAt                   Micros
 }
 
 // CustomerRecord is one customer.
@@ -107,8 +108,6 @@
 	OwnMean, AllMean   float64
 	Guard, Pending     float64
 	Open               int
-	Ring               []float64
-	Slot               int64
 	Touched            Micros
 	Level              float64
 	LevelAt, HeardAt   Micros
@@ -118,8 +117,7 @@
 	Mine, Others       float64
 	OwnUse, OthersUse  float64
 	AccAt              Micros
-	Spent              int64
-	SeenPub            Micros
+	Spent              [2]int64
 }
 
 // ServerRecord is one server, and its open attempts, oldest first: request and attempt.
@@ -149,6 +147,7 @@
 	Request, Client int
 	N               int64
 	Units, Booked   float64
+	Kind            int
 }
 
 // index gives places in a list to what is pointed at.
@@ -184,7 +183,7 @@
 	s := Snapshot{Version: SnapshotVersion, Settings: g.set, RNG: g.rng, Now: g.now, Born: g.born, InForce: len(g.classes), WheelAt: g.wheelAt,
 		InFlight: g.inFlight, Stuck: g.stuck, Answered: g.answered, Bound: g.bound, BoundSet: g.boundSet, CutAt: g.cutAt,
 		IdleAt: g.idleAt, Idle: g.idle, Answers: g.answers, Stretch: g.stretch, DoneRate: g.doneRate, SendRate: g.sendRate, WarmLoad: g.warmLoad,
-		LastRate: g.lastRate, Sends: g.sends, Dones: g.dones, Calls: g.calls, CallAt: g.callAt, PubAt: g.pubAt, CapWindow: g.capWindow}
+		LastRate: g.lastRate, Sends: g.sends, Dones: g.dones, Calls: g.calls, CallAt: g.callAt, CapWindow: g.capWindow}
 	var classes index[*classState]
 	var requests index[*request]
 	var clients index[*customer]
@@ -193,7 +192,7 @@
 		classes.of(&g.classes[i])
 	}
 	for _, p := range g.plans {
-		s.Plans = append(s.Plans, PlanRecord{p.holds, p.granted})
+		s.Plans = append(s.Plans, PlanRecord{p.holds})
 	}
 	for _, srv := range g.servers {
 		s.Order = append(s.Order, servers.of(srv))
@@ -221,7 +220,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.draws)) {
 		d := DrawRecord{Name: name}
 		for _, one := range g.draws[name] {
-			r := DrawnRecord{Request: -1, Client: -1, N: one.n, Units: one.units, Booked: one.booked}
+			r := DrawnRecord{Request: -1, Client: -1, N: one.n, Units: one.units, Booked: one.booked, Kind: one.kind}
 			if one.q != nil {
 				r.Request = requests.of(one.q)
 			}
@@ -250,7 +249,7 @@
 func (g *Gateway) requestRecord(q *request, classes *index[*classState], clients *index[*customer], servers *index[*server]) RequestRecord {
 	r := RequestRecord{ID: q.id, Class: classes.of(q.class), Plan: q.plan.index, Client: clients.of(q.cust), Units: q.units, Level: q.level,
 		Arrived: q.arrived, Deadline: q.deadline, Halfway: q.halfway, Open: q.open, Sent: q.sent, Done: q.done, Held: q.held,
-		Drawing: q.drawing, Admitted: q.admitted, Uncertain: q.uncertain, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken}
+		Drawing: q.drawing, Admitted: q.admitted, Uncertain: q.uncertain, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken, LeasedAt: q.leasedAt}
 	if q.ranOn != nil {
 		r.RanOn = servers.of(q.ranOn)
 	}
@@ -262,10 +261,10 @@
 
 func customerRecord(c *customer) CustomerRecord {
 	return CustomerRecord{Key: c.key, Plan: c.plan.index, Spread: c.spread, Tokens: c.tokens, At: c.at, Share: c.share, ShareAt: c.shareAt,
-		OwnMean: c.ownMean, AllMean: c.allMean, Guard: c.guard, Pending: c.pending, Open: c.open, Ring: slices.Clone(c.ring[:]), Slot: c.slot,
+		OwnMean: c.ownMean, AllMean: c.allMean, Guard: c.guard, Pending: c.pending, Open: c.open,
 		Touched: c.touched, Level: c.level, LevelAt: c.levelAt, HeardAt: c.heardAt, OthersRate: c.othersRate, Untold: c.untold,
 		ToldAt: c.toldAt, Window: c.window, Mine: c.mine, Others: c.others, OwnUse: c.ownUse, OthersUse: c.othersUse, AccAt: c.accAt,
-		Spent: c.spent, SeenPub: c.seenPub}
+		Spent: c.spent}
 }
 
 func serverRecord(s *server, requests *index[*request]) ServerRecord {
@@ -308,7 +307,7 @@
 		*classes[i] = c.state()
 	}
 	for i, p := range s.Plans {
-		g.plans[i].holds, g.plans[i].granted = p.Holds, p.Granted
+		g.plans[i].holds = p.Holds
 	}
 	clients := make([]*customer, len(s.Clients))
 	for i := range s.Clients {
@@ -356,7 +355,7 @@
 	}
 	for _, d := range s.Draws {
 		for _, one := range d.Out {
-			out := drawn{n: one.N, units: one.Units, booked: one.Booked}
+			out := drawn{n: one.N, units: one.Units, booked: one.Booked, kind: one.Kind}
 			if one.Request >= 0 {
 				out.q = requests[one.Request]
 			}
@@ -370,17 +369,15 @@
 	g.inFlight, g.stuck, g.answered, g.bound, g.boundSet = s.InFlight, s.Stuck, s.Answered, s.Bound, s.BoundSet
 	g.cutAt, g.idleAt, g.idle, g.answers, g.stretch = s.CutAt, s.IdleAt, s.Idle, s.Answers, s.Stretch
 	g.doneRate, g.sendRate, g.warmLoad, g.lastRate, g.sends, g.dones = s.DoneRate, s.SendRate, s.WarmLoad, s.LastRate, s.Sends, s.Dones
-	g.calls, g.callAt, g.pubAt, g.capWindow = s.Calls, s.CallAt, s.PubAt, s.CapWindow
+	g.calls, g.callAt, g.capWindow = s.Calls, s.CallAt, s.CapWindow
 	return g, nil
 }
 
 func (g *Gateway) restoreCustomer(r *CustomerRecord) *customer {
 	c := &customer{key: r.Key, plan: &g.plans[r.Plan], spread: r.Spread, tokens: r.Tokens, at: r.At, share: r.Share, shareAt: r.ShareAt,
-		ownMean: r.OwnMean, allMean: r.AllMean, guard: r.Guard, pending: r.Pending, open: r.Open, slot: r.Slot, touched: r.Touched,
+		ownMean: r.OwnMean, allMean: r.AllMean, guard: r.Guard, pending: r.Pending, open: r.Open, touched: r.Touched,
 		level: r.Level, levelAt: r.LevelAt, heardAt: r.HeardAt, othersRate: r.OthersRate, untold: r.Untold, toldAt: r.ToldAt,
-		window: r.Window, mine: r.Mine, others: r.Others, ownUse: r.OwnUse, othersUse: r.OthersUse, accAt: r.AccAt, spent: r.Spent,
-		seenPub: r.SeenPub}
-	copy(c.ring[:], r.Ring)
+		window: r.Window, mine: r.Mine, others: r.Others, ownUse: r.OwnUse, othersUse: r.OthersUse, accAt: r.AccAt, spent: r.Spent}
 	return c
 }
 
@@ -393,7 +390,7 @@
 func (g *Gateway) restoreRequest(r *RequestRecord, classes []*classState, clients []*customer, servers []*server) *request {
 	q := &request{id: r.ID, class: classes[r.Class], plan: &g.plans[r.Plan], cust: clients[r.Client], units: r.Units, level: r.Level,
 		arrived: r.Arrived, deadline: r.Deadline, halfway: r.Halfway, open: r.Open, sent: r.Sent, done: r.Done, held: r.Held,
-		drawing: r.Drawing, admitted: r.Admitted, uncertain: r.Uncertain, ranAt: r.RanAt, tokensTaken: r.Taken}
+		drawing: r.Drawing, admitted: r.Admitted, uncertain: r.Uncertain, ranAt: r.RanAt, tokensTaken: r.Taken, leasedAt: r.LeasedAt}
 	if r.RanOn >= 0 {
 		q.ranOn = servers[r.RanOn]
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,6 +24,7 @@
 	ranOn       *server
 	ranAt       Micros // send of the first attempt that may have run
 	tokensTaken float64
+	leasedAt    Micros // when its units of a ceiling were
 }
 
 type attempt struct {
@@ -72,9 +73,8 @@
 
 type planState struct {
 	Plan
-	index   int
-	holds   float64 // how long its attempts are out
-	granted float64 // part of the draws that are granted
+	index int
+	holds float64 // how long its attempts are out
 }
 
 type customer struct {
@@ -85,13 +85,11 @@
 	at      Micros
 	share   float64
 	shareAt Micros
-	ownMean float64 // smoothed own use of metered periods
+	ownMean float64 // smoothed own use by periods
 	allMean float64 // smoothed use by all gateways in them
 	guard   float64 // our part of the ceiling's store
 	pending float64 // units admitted and not sent yet
 	open    int
-	ring    [ringParts * ringPeriods]float64
-	slot    int64
 	touched Micros
 	// counter
 	level      float64 // what is in the shared store by what we know
@@ -106,8 +104,7 @@
 	ownUse     float64 // since accAt, and the others'
 	othersUse  float64
 	accAt      Micros
-	spent      int64 // the window whose store is spent
-	seenPub    Micros
+	spent      [2]int64 // the windows that are, by what is drawn
 }
 
 // drawn is a counter call that is out.
@@ -116,6 +113,8 @@
 	c *customer // where it is for the shared store
 	n int64     // the window
 
+	kind int // of draw
+
 	units, booked float64 // used before, and by the request that waits
 }
 
@@ -161,9 +160,6 @@
 	calls     float64 // part of the draws that are made
 	capWindow Micros
 	callAt    Micros
-
-	period Micros
-	pubAt  Micros // newest publication of the meter seen
 }
 
 func (g *Gateway) random() float64 {
@@ -180,16 +176,6 @@
 	return x ^ x>>32
 }
 
-func (c *customer) roll(slot int64) {
-	if slot-c.slot > int64(len(c.ring)) {
-		c.slot = slot - int64(len(c.ring))
-	}
-	for c.slot < slot {
-		c.slot++
-		c.ring[c.slot%int64(len(c.ring))] = 0
-	}
-}
-
 func drop(list *[]*request, q *request) bool {
 	for i, x := range *list {
 		if x == q {
@@ -200,20 +186,6 @@
 	return false
 }
 
-// usedIn is our own use in the period that ended at a time.
-func (g *Gateway) usedIn(c *customer, end Micros) float64 {
-	w := g.period / ringParts
-	c.roll(g.now / w)
-	first := (end - g.period + w/2) / w
-	sum := 0.0
-	for s := first; s < first+ringParts; s++ {
-		if s <= c.slot && s > c.slot-int64(len(c.ring)) && s >= 0 {
-			sum += c.ring[s%int64(len(c.ring))]
-		}
-	}
-	return sum
-}
-
 func (g *Gateway) unhold(q *request) {
 	if !q.held {
 		return
--- a/policy/store.go
+++ b/policy/store.go
@@ -8,7 +8,7 @@
 
 // shared tells whether a customer's store is kept on the counter, for all gateways.
 func (g *Gateway) shared(c *customer) bool {
-	return g.set.Counter && g.set.MeterPeriod <= 0 && c.plan.Rate > 0 && c.plan.Open == 0
+	return g.set.Counter && c.plan.Rate > 0 && c.plan.Open == 0 && !g.thin(c)
 }
 
 // flow brings what we know of a customer's shared store to the present: it fills at
@@ -35,7 +35,7 @@
 		c.window, c.mine, c.others = n, 0, 0
 	}
 	d := drawn{q: q, c: c, n: c.window, units: c.untold}
-	if q != nil && c.level >= q.units && q.plan.granted > 0.5 { // it will be let in: told at once
+	if q != nil && c.level >= q.units { // it will be let in: told at once
 		d.booked = q.units
 	}
 	name := mix(c.key, uint64(c.window)|1<<62)
@@ -55,12 +55,7 @@
 		used = c.othersRate * since
 		c.level = min(c.level, max(c.tokens, 0)*c.spread)
 	}
-	if c.heardAt > 0 {
-		c.level += c.othersRate*since - used
-	} else { // met anew: it filled meanwhile, but to suppose so costs where it had no room
-		came := max(min(2/c.spread, 1), 1-c.plan.OverCost)
-		c.level -= max(used-c.plan.Rate*since*came, 0)
-	}
+	c.level += c.othersRate*since - used
 	g.limit(c)
 	if since > 0 {
 		rate := min(max(used/since, 0), c.plan.Rate)
@@ -68,7 +63,7 @@
 	}
 	c.heardAt = g.now
 	c.tokens = min(max(c.level, 0)*g.currentShare(c), g.store(c))
-	if c.othersUse += max(used, 0); g.now-c.accAt >= g.period && total >= c.mine*0.999 {
+	if c.othersUse += max(used, 0); g.now-c.accAt >= counterPeriod && total >= c.mine*0.999 {
 		g.learn(c, c.ownUse, c.ownUse+c.othersUse)
 		c.ownUse, c.othersUse, c.accAt = 0, 0, g.now
 	}
@@ -83,11 +78,7 @@
 		if c.untold > much && g.random() < g.calls {
 			g.call(c, nil)
 		}
-		return
 	}
-	slot := g.now / (g.period / ringParts)
-	c.roll(slot)
-	c.ring[slot%int64(len(c.ring))] += units
 }
 
 // learn moves the share to our part of what all gateways used.
@@ -116,22 +107,6 @@
 	g.do.Timer(tokenGiveUp<<32|uint64(q.id), max(q.deadline-2*max(g.set.Tick, milli)-g.now, 0))
 }
 
-// metered takes what an answer tells of a customer's use by all gateways.
-func (g *Gateway) metered(c *customer, used int) {
-	if used <= 0 || g.set.MeterPeriod <= 0 || c.plan.Rate <= 0 {
-		return
-	}
-	if g.now-g.pubAt >= g.period {
-		g.pubAt = g.now
-	}
-	if c.seenPub == g.pubAt {
-		return
-	}
-	c.seenPub = g.pubAt
-	all := float64(used-1) / 100 * c.plan.Rate * float64(g.period) / 1e6
-	g.learn(c, g.usedIn(c, g.now-Micros(meterLag*float64(g.period))), all)
-}
-
 // refill brings our bucket and our part of the ceiling to the present.
 func (g *Gateway) refill(c *customer) {
 	dt := float64(g.now-c.at) / 1e6
@@ -144,7 +119,8 @@
 	// ones, which fill no further meanwhile; so neither do ours.
 	c.tokens = min(c.tokens+g.rate(c)*g.currentShare(c)*dt, g.store(c)-c.pending)
 	if p.CeilingRate > 0 {
-		c.guard = min(c.guard+p.CeilingRate/c.spread*dt, p.CeilingBurst/c.spread-c.pending)
+		rate, burst := g.ceiling(c)
+		c.guard = min(c.guard+rate*dt, burst-c.pending)
 	}
 }
 
@@ -160,7 +136,6 @@
 	c, spread := g.customers[key], float64(min(max(r.Spread, 1), max(g.set.Gateways, 1)))
 	if c == nil {
 		c = &customer{key: key, plan: &g.plans[r.Plan], spread: spread, at: g.now}
-		c.seenPub = g.pubAt
 		c.share = 1 / c.spread
 		c.tokens = g.store(c)
 		c.level, c.levelAt, c.accAt = c.plan.Burst, g.now, g.now
@@ -168,8 +143,8 @@
 		if p.CeilingRate > 0 {
 			// A gateway just born does not know what it spent in an earlier life:
 			// its part of the ceiling fills from nothing since then.
-			sinceBirth := float64(g.now-g.born) / 1e6
-			c.guard = min(p.CeilingBurst, p.CeilingRate*sinceBirth) / c.spread
+			rate, burst := g.ceiling(c)
+			c.guard = min(burst, rate*float64(g.now-g.born)/1e6)
 		}
 		g.customers[key] = c
 		i := c.key * 0x9e3779b97f4a7c15 >> 32 % uint64(len(g.wheel))
--- a/policy/types.go
+++ b/policy/types.go
@@ -60,14 +60,12 @@
 	Weights    bool     // the list's weights say something of size
 	InlineLoad []string // values of load reports that come with answers
 
-	MaxAttempts  int
-	Cancel       bool
-	MarksRepeats bool // clients tell their repeats as such
-	RetryAfter   bool
+	MaxAttempts int
+	Cancel      bool
+	RetryAfter  bool
 
 	Counter        bool
 	CounterTimeout Micros
-	MeterPeriod    Micros
 	Settles        bool
 	Largest        float64
 
@@ -111,7 +109,7 @@
 	Spent    bool // its body can't be sent again
 	Status   Status
 	Settled  float64 // the true units, 0 for none
-	Used     int     // 1 + percent of the quota used, 0 for none
+	Used     int     // 1 + percent of the quota used, 0 for none; captures keep it, decisions do not go by it
 	Attempt  int
 	Server   Server
 	Load     []float32 // what the worker reports; captures keep it, decisions do not go by it
