Have seldom answers weigh up to a tenth in the average that the bound goes by

The average of answers over their aim forgets by 33 answers, 0.2 s for a busy gatekeeper and 4 to 15 s for one of hundreds (judge, stretchGain). Now an answer weighs as much as the seconds since the last one, 0.03 at least and a tenth at most.

TestSeldomAnswersMoveTheBound fails without it."

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,8 @@
 	growStep       = 2.0  // over the bound is added to it by a quick answer
 	growMost       = 0.05 // of the bound is added by an answer at most
 	cutPast        = 0.4  // of the aim: slower answers on average cut it
-	stretchGain    = 0.03 // weight of the newest answer in that average
+	stretchGain    = 0.03 // weight of the newest answer in that average, at least,
+	stretchMost    = 0.1  // and of one that comes after a tenth of a second, so that seldom ones count
 	ownPart        = 0.4  // of the aim at most is set aside for the answer itself
 	stretchSettles = 50
 	idleForget     = 60 * second
@@ -758,7 +759,8 @@
 		cl.lat += (lat - cl.lat) * gain
 		s.rel = g.relOf(s) + (min(r, relWorst)-g.relOf(s))*relGain
 		s.relAt = g.now
-		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * stretchGain
+		gain = min(max(float64(g.now-g.idleAt)/1e6, stretchGain), stretchMost)
+		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * gain
 		if g.answers++; g.answers == stretchSettles || g.stretch < g.idle {
 			g.idle = g.stretch
 		}
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -590,3 +590,19 @@
 		t.Errorf("the worker that fails got %d of %d, %d would be even", got, all, even)
 	}
 }
+
+// TestSeldomAnswersMoveTheBound guards against a fleet that learns too late that its workers
+// are slow: of hundreds of gateways each gets an answer in a tenth of a second, and an average
+// over 33 answers took it seconds to believe them.
+func TestSeldomAnswersMoveTheBound(t *testing.T) {
+	g, r := start(settings(), 20)
+	bound := g.bound
+	for i := range uint32(6) {
+		at := 100e6 + Micros(i)*100e3
+		g.Request(at, r, Request{ID: i, Customer: uint64(i), Left: 2e6, Units: 1, Spread: 2})
+		g.Outcome(at, r, Outcome{ID: i, Status: OK, Terminal: true, Latency: 750e3, Server: r.sent[i].to})
+	}
+	if g.bound >= bound {
+		t.Errorf("the bound is at %.1f after six answers of 1.5 times the aim, it was %.1f", g.bound, bound)
+	}
+}
