Leave a slice whole where its request was drawn on the counter; write down what was found

Seen reading over the change: an answer that settles a drawn try moved the customer's slice, which that try had not taken from (Outcome, tokensTaken). A slice holds one request and is capped there, so settled units only ever made it smaller, for the outage it is kept for.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -250,9 +250,9 @@
 }
 
 // leased tells that a ceiling's even parts hold less than one of the largest requests, so
-// that a part of it is leased from the counter. What two windows pass, and what comes in
-// for the longest that a request is held after its lease, is no more than the ceiling's
-// store holds, however often gateways are born and whatever each of them knows.
+// that a part of it is leased from the counter. What the windows pass that a time touches,
+// held for one window more, is no more than the ceiling's store holds and gets in it, however
+// often gateways are born and whatever each of them knows (docs/design/ceilings.md).
 func (g *Gateway) leased(p *planState) bool {
 	return g.set.Counter && p.CeilingRate > 0 && (1-leaseOwn)*p.CeilingBurst/leaseParts >= g.set.Largest &&
 		p.CeilingBurst < float64(g.set.Gateways)*g.set.Largest
@@ -612,7 +612,7 @@
 	q.plan.holds += (float64(now-a.sent) - q.plan.holds) * holdGain
 	g.judge(a, o)
 	c := q.cust
-	if o.Status == OK && o.Settled > 0 && g.set.Settles && !q.done {
+	if o.Status == OK && o.Settled > 0 && g.set.Settles && !q.done && q.tokensTaken > 0 {
 		c.tokens -= o.Settled - q.units
 		c.level -= o.Settled - q.units
 		g.note(c, o.Settled-q.units)
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -606,3 +606,19 @@
 		t.Errorf("the bound is at %.1f after six answers of 1.5 times the aim, it was %.1f", g.bound, bound)
 	}
 }
+
+// TestADrawnTrySettlesNothingOfASlice: what was drawn on the counter took nothing from our
+// slice, so that an answer that says more than was guessed leaves it whole for an outage.
+func TestADrawnTrySettlesNothingOfASlice(t *testing.T) {
+	s := thin()
+	s.Settles = true
+	f := newFleet(t, s, 80, 20)
+	f.settled = 6
+	if !f.try(3, 0, 5, 2e6) {
+		t.Fatal("not let on")
+	}
+	f.down = true
+	if !f.try(3, 0, 5, 2e6) {
+		t.Error("the slice is gone with what another try settled")
+	}
+}
