Write a lease's pool and a window's phase once, and drop what the windows left unread

Found reading the whole change again: what a window passes of a ceiling stood in leased and in terms, and the bound's proof needs them alike (leasePool now); the shift of a customer's windows stood in call, hear and terms (phase). Unread since the meter, unmarked repeats and the timer of least use went: the settings' mark of repeats and a customer's toldAt. A second meaning of gain in judge has a name of its own. Plan.OverCost is read by no decision any more and says so.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,9 +25,6 @@
 		Worth     float64 `json:"worth"`
 		LateWorth float64 `json:"late-worth"`
 	} `json:"classes"`
-	Clients struct {
-		MarksRetry bool `json:"marks-retry"`
-	} `json:"clients"`
 	Info struct {
 		CountLimit int64   `json:"count-limit-us"`
 		Largest    float64 `json:"largest"`
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -254,10 +254,13 @@
 // held for one window more, is no more than the ceiling's store holds and gets in it, however
 // often gateways are born and whatever each of them knows (docs/design/ceilings.md).
 func (g *Gateway) leased(p *planState) bool {
-	return g.set.Counter && p.CeilingRate > 0 && (1-leaseOwn)*p.CeilingBurst/leaseParts >= g.set.Largest &&
+	return g.set.Counter && p.CeilingRate > 0 && leasePool(p) >= g.set.Largest &&
 		p.CeilingBurst < float64(g.set.Gateways)*g.set.Largest
 }
 
+// leasePool is what a window passes of a ceiling.
+func leasePool(p *planState) float64 { return (1 - leaseOwn) * p.CeilingBurst / leaseParts }
+
 // ceiling is the part of a customer's ceiling that is ours without a lease.
 func (g *Gateway) ceiling(c *customer) (rate, burst float64) {
 	part := 1 / c.spread
@@ -398,21 +401,20 @@
 
 // terms are how a thin store, cap or ceiling is drawn on: a name on the counter stands for a
 // customer and a window of time. Of a store a window passes a burst; of a cap so many attempts
-// that few more are out at once, as long as they last by our measure. Customers' windows end
-// at different moments.
+// that few more are out at once, as long as they last by our measure.
 func (g *Gateway) terms(c *customer, kind int) (n, window Micros, pool float64) {
 	p := c.plan
 	switch {
 	case kind == drawLease:
 		window = Micros(p.CeilingBurst / p.CeilingRate / leaseParts * 1e6)
-		pool = (1 - leaseOwn) * p.CeilingBurst / leaseParts
+		pool = leasePool(p)
 	case p.Open > 0:
 		window, pool = g.capWindow, max(capFill*float64(p.Open)*float64(g.capWindow)/max(p.holds, 1), 1)
 	default:
 		window, pool = Micros(drawWindow*p.Burst/p.Rate*1e6), p.Burst
 	}
 	window = max(window, milli)
-	return (g.now + Micros(mix(c.key, 0)%uint64(window))) / window, window, pool
+	return (g.now + phase(c, window)) / window, window, pool
 }
 
 // thin tells that our even part of a customer's store or cap holds less than one of the
@@ -759,8 +761,8 @@
 		cl.lat += (lat - cl.lat) * gain
 		s.rel = g.relOf(s) + (min(r, relWorst)-g.relOf(s))*relGain
 		s.relAt = g.now
-		gain = min(max(float64(g.now-g.idleAt)/1e6, stretchGain), stretchMost)
-		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * gain
+		weight := min(max(float64(g.now-g.idleAt)/1e6, stretchGain), stretchMost)
+		g.stretch += (min(lat/float64(max(cl.Aim, 1)), 3) - g.stretch) * weight
 		if g.answers++; g.answers == stretchSettles || g.stretch < g.idle {
 			g.idle = g.stretch
 		}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -112,7 +112,6 @@
 	Level              float64
 	LevelAt, HeardAt   Micros
 	OthersRate, Untold float64
-	ToldAt             Micros
 	Window             int64
 	Mine, Others       float64
 	OwnUse, OthersUse  float64
@@ -263,7 +262,7 @@
 	return CustomerRecord{Key: c.key, Plan: c.plan.index, Spread: c.spread, Tokens: c.tokens, At: c.at, Share: c.share, ShareAt: c.shareAt,
 		OwnMean: c.ownMean, AllMean: c.allMean, Guard: c.guard, Pending: c.pending, Open: c.open,
 		Touched: c.touched, Level: c.level, LevelAt: c.levelAt, HeardAt: c.heardAt, OthersRate: c.othersRate, Untold: c.untold,
-		ToldAt: c.toldAt, Window: c.window, Mine: c.mine, Others: c.others, OwnUse: c.ownUse, OthersUse: c.othersUse, AccAt: c.accAt,
+		Window: c.window, Mine: c.mine, Others: c.others, OwnUse: c.ownUse, OthersUse: c.othersUse, AccAt: c.accAt,
 		Spent: c.spent}
 }
 
@@ -376,7 +375,7 @@
 func (g *Gateway) restoreCustomer(r *CustomerRecord) *customer {
 	c := &customer{key: r.Key, plan: &g.plans[r.Plan], spread: r.Spread, tokens: r.Tokens, at: r.At, share: r.Share, shareAt: r.ShareAt,
 		ownMean: r.OwnMean, allMean: r.AllMean, guard: r.Guard, pending: r.Pending, open: r.Open, touched: r.Touched,
-		level: r.Level, levelAt: r.LevelAt, heardAt: r.HeardAt, othersRate: r.OthersRate, untold: r.Untold, toldAt: r.ToldAt,
+		level: r.Level, levelAt: r.LevelAt, heardAt: r.HeardAt, othersRate: r.OthersRate, untold: r.Untold,
 		window: r.Window, mine: r.Mine, others: r.Others, ownUse: r.OwnUse, othersUse: r.OthersUse, accAt: r.AccAt, spent: r.Spent}
 	return c
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -97,7 +97,6 @@
 	heardAt    Micros  // last total
 	othersRate float64 // units a second that the others use
 	untold     float64 // own use that the counter has not been told
-	toldAt     Micros
 	window     int64   // the name's
 	mine       float64 // added by us in the window
 	others     float64 // added by the others, by the last total
@@ -113,7 +112,7 @@
 	c *customer // where it is for the shared store
 	n int64     // the window
 
-	kind int // of draw
+	kind int // of draw, where it is none for the shared store
 
 	units, booked float64 // used before, and by the request that waits
 }
--- a/policy/store.go
+++ b/policy/store.go
@@ -26,12 +26,15 @@
 	c.level = max(min(c.level, c.plan.Burst), -storeLeast*g.set.Largest)
 }
 
+// phase is how far a customer's windows on the counter are shifted: they end at different
+// moments.
+func phase(c *customer, window Micros) Micros { return Micros(mix(c.key, 0) % uint64(window)) }
+
 // call adds to a customer's number what the counter was not told yet; the total that
 // comes back tells the use of the others. A request may wait for it: its units are added
 // with the question where it is likely to be let in, so that one call does.
 func (g *Gateway) call(c *customer, q *request) {
-	phase := Micros(mix(c.key, 0) % uint64(storeWindow)) // customers' windows end at different moments
-	if n := (g.now + phase) / storeWindow; n != c.window {
+	if n := (g.now + phase(c, storeWindow)) / storeWindow; n != c.window {
 		c.window, c.mine, c.others = n, 0, 0
 	}
 	d := drawn{q: q, c: c, n: c.window, units: c.untold}
@@ -41,14 +44,13 @@
 	name := mix(c.key, uint64(c.window)|1<<62)
 	g.draws[name] = append(g.draws[name], d)
 	g.do.Count(name, d.units+d.booked, 2*storeWindow)
-	c.untold, c.toldAt = 0, g.now
+	c.untold = 0
 }
 
 // hear takes a total of a customer's window: what the others have added since the
 // last one has left the store, beyond what flow took for it.
 func (g *Gateway) hear(c *customer, total float64) {
-	phase := Micros(mix(c.key, 0) % uint64(storeWindow))
-	since := float64(g.now-max(c.heardAt, c.window*storeWindow-phase)) / 1e6
+	since := float64(g.now-max(c.heardAt, c.window*storeWindow-phase(c, storeWindow))) / 1e6
 	used := total - c.mine - c.others // below nothing where requests were cheaper than guessed
 	c.others = total - c.mine
 	if used < -g.set.Largest { // the counter has lost what it held: our slice knows best
--- a/policy/types.go
+++ b/policy/types.go
@@ -41,7 +41,8 @@
 }
 
 // Plan is what a customer pays for: quota, caps and price. A zero Rate, Open or
-// CeilingRate means that there is no such limit.
+// CeilingRate means that there is no such limit. OverCost stands in settings and captures;
+// decisions do not go by it.
 type Plan struct {
 	Rate, Burst                             float64
 	Open                                    int
