Wait for the list that a watch brought before the watch is moved

The test took the first agent's being asked for the gatekeeper's holding that agent's list; where the file is replaced before the answer has been read, asking on from 7 is right. The test waits now until list 9 is held.

Checked: with 20 ms before the agent's answer, 5 of 5 failed without the wait and 5 of 5 passed with it; 200 of 200 pass as committed under the race detector. 12 runs of the whole package at once on 6 cores found no other test that fails.

--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -428,6 +428,7 @@
 	if got := next(t, asked); got != "first from 7" {
 		t.Fatalf("asked the %s", got)
 	}
+	g.holds(9)
 	configured(t, whole(`{"discovery":"`+second+`"}`))
 	for name, text := range map[string]string{
 		"cut short":              `{"discovery":"` + second + `"`,
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -162,6 +162,23 @@
 	next(g.t, done)
 }
 
+// holds waits until the list of a generation has been taken. That an agent has been asked,
+// or has written its answer, does not say so yet.
+func (g *gate) holds(generation int64) {
+	g.t.Helper()
+	held := make(chan int64, 1)
+	for end := time.Now().Add(patience); ; {
+		g.loop.Post(func() { held <- g.hosts.List().Generation })
+		got := next(g.t, held)
+		if got == generation {
+			return
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("list %d is held, not %d", got, generation)
+		}
+	}
+}
+
 // client is one client connection.
 type client struct {
 	net.Conn
