Count a refused unit once in the measure of restarts, and put a life not killed beside them

A quota's true store now gives what it could have given, whether that was sent or refused, and the units sent beyond it are counted too.

--- a/internal/trial/restart.go
+++ b/internal/trial/restart.go
@@ -17,8 +17,8 @@
 )
 
 // Restarts measures what a gatekeeper that was killed and begins again does in its first
-// 10 s, cold and warm, in simulated time: units sent beyond the ceiling over both lives,
-// and units refused though the quota had them.
+// 10 s, cold and warm, in simulated time: units sent beyond the ceiling and the quota over
+// both lives, and units refused though the quota had them.
 type Restarts struct {
 	Lives int // simulated
 	Seed  uint64
@@ -26,7 +26,12 @@
 }
 
 // figures are of one restart.
-type figures struct{ over, wrong, asked float64 }
+type figures struct {
+	over   float64 // the most beyond the ceiling at one moment
+	beyond float64 // sent that the quota did not hold
+	wrong  float64 // refused that the quota held
+	asked  float64
+}
 
 const (
 	afterStart = 10000.0 // milliseconds that count
@@ -45,7 +50,8 @@
 // asking is the units a second that each customer asks for, against a quota of 19.
 var asking = [...]float64{7.1 * 19, 15, 15, 10, 5}
 
-// level is a store as it truly is.
+// level is a store as it truly is. A quota's has given what it could have given, whether
+// the module sent that or refused it: its units can be refused wrongly only once.
 type level struct{ rate, burst, now, at float64 }
 
 func (l *level) flow(at float64) {
@@ -53,6 +59,15 @@
 	l.at = at
 }
 
+// take takes units where the store holds them.
+func (l *level) take(at, units float64) bool {
+	if l.flow(at); l.now < units {
+		return false
+	}
+	l.now -= units
+	return true
+}
+
 // world is the simulated surroundings of both lives.
 type world struct {
 	core     *gatekeeper.Gatekeeper
@@ -73,10 +88,11 @@
 
 func (w *world) Execute(x *gatekeeper.Execution) {
 	i := x.Request.Customer
-	q, c := &w.quotas[i], &w.ceilings[i]
-	q.flow(w.clock.Now())
+	c := &w.ceilings[i]
+	if !w.quotas[i].take(w.clock.Now(), x.Request.Units) && w.counts {
+		w.f.beyond += x.Request.Units
+	}
 	c.flow(w.clock.Now())
-	q.now -= x.Request.Units
 	if c.now -= x.Request.Units; c.now < 0 && w.counts {
 		w.f.over = max(w.f.over, -c.now)
 	}
@@ -89,10 +105,8 @@
 func (w *world) Served(*gatekeeper.Request, gatekeeper.Answer) {}
 func (w *world) Failed(*gatekeeper.Request)                    {}
 func (w *world) Throttled(r *gatekeeper.Request, _ float64) {
-	if q := &w.quotas[r.Customer]; w.counts {
-		if q.flow(w.clock.Now()); q.now >= r.Units {
-			w.f.wrong += r.Units
-		}
+	if w.quotas[r.Customer].take(w.clock.Now(), r.Units) && w.counts {
+		w.f.wrong += r.Units
 	}
 }
 
@@ -127,8 +141,19 @@
 	}
 }
 
+// birth is how the seconds that count begin.
+type birth int
+
+const (
+	cold  birth = iota
+	warm        // from the killed life's capture
+	alive       // nobody is killed: what even a module that knows all refuses and sends on
+)
+
+func (b birth) String() string { return [...]string{"cold", "warm", "not killed"}[b] }
+
 // play is one life, its death, and the first seconds of the next.
-func (o *Restarts) play(seed uint64, warm bool) (figures, error) {
+func (o *Restarts) play(seed uint64, how birth) (figures, error) {
 	folder, err := os.MkdirTemp("", "foxwood-trial")
 	if err != nil {
 		return figures{}, fmt.Errorf("trial: %w", err)
@@ -146,9 +171,15 @@
 	}
 	w.begin(rec, nil, seed)
 	w.run(4000 + 8000*w.random.Float64())
+	if how == alive {
+		w.counts = true
+		w.run(afterStart)
+		rec.Close()
+		return w.f, nil
+	}
 	rec.Close()
 	var before *gatekeeper.Earlier
-	if warm {
+	if how == warm {
 		if before, err = killed(folder); err != nil {
 			return figures{}, err
 		}
@@ -202,29 +233,29 @@
 %d simulated restarts, %.0f ms after the kill, one customer asking for 7.1 times its quota of 19 units a second and four
 within theirs; a ceiling of 35 a second over 53 units, with a slack of 6. The capture's last block is lost, as a kill has it.
 
-| start | units over the ceiling: median | p99 | worst | refused though the quota had them: median %% of what was asked | p99 |
-| --- | ---: | ---: | ---: | ---: | ---: |
+| start | over the ceiling, units: median | worst | sent beyond the quota, %% of what was asked: median | p99 | refused though the quota had them, %%: median | p99 |
+| --- | ---: | ---: | ---: | ---: | ---: | ---: |
 `, o.Lives, o.Down)
-	for _, warm := range []bool{false, true} {
-		var over, wrong []float64
+	for _, how := range []birth{cold, warm, alive} {
+		var over, beyond, wrong []float64
 		for i := range o.Lives {
-			f, err := o.play(uint64(i), warm)
+			f, err := o.play(uint64(i), how)
 			if err != nil {
 				return err
 			}
-			over, wrong = append(over, f.over), append(wrong, 100*f.wrong/max(f.asked, 1))
+			asked := max(f.asked, 1) / 100
+			over, beyond, wrong = append(over, f.over), append(beyond, f.beyond/asked), append(wrong, f.wrong/asked)
 		}
-		slices.Sort(over)
-		slices.Sort(wrong)
-		at := func(all []float64, q float64) float64 { return all[int(q*float64(len(all)-1))] }
-		name := "cold"
-		if warm {
-			name = "warm"
-		}
-		if _, err := fmt.Fprintf(to, "| %s | %.2f | %.2f | %.2f | %.2f | %.2f |\n", name, at(over, 0.5), at(over, 0.99), at(over, 1),
-			at(wrong, 0.5), at(wrong, 0.99)); err != nil {
+		if _, err := fmt.Fprintf(to, "| %v | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f |\n", how, quantile(over, 0.5), quantile(over, 1),
+			quantile(beyond, 0.5), quantile(beyond, 0.99), quantile(wrong, 0.5), quantile(wrong, 0.99)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// quantile sorts and picks.
+func quantile(all []float64, q float64) float64 {
+	slices.Sort(all)
+	return all[int(q*float64(len(all)-1))]
+}
