Capture all calls of the module, hide ids in states too, and replace a process that captures

The writer's goroutine hides the ids in states. A checkpoint of another build's state is named in the replay's notes, and neither gone on from nor compared. A process that captures is replaced in service like any other; a handed-over state goes before a warm start.

--- a/capture/decode.go
+++ b/capture/decode.go
@@ -22,19 +22,25 @@
 	return s, nil
 }
 
-// State is what a CHECKPOINT record holds.
-func (*Decoder) State(r *capturepb.Record) (s policy.Snapshot, err error) {
+// State is what a CHECKPOINT or RECOVERED record holds.
+func (d *Decoder) State(r *capturepb.Record) (s policy.Snapshot, err error) {
 	if err := json.Unmarshal(r.GetSettings(), &s); err != nil {
 		return s, fmt.Errorf("capture: checkpoint: %w", err)
 	}
-	return s, nil
+	return d.key.showState(s), nil
+}
+
+// Beside is what a BESIDE record holds.
+func (d *Decoder) Beside(r *capturepb.Record) policy.Draw {
+	return policy.Draw{Customer: d.key.show(r.GetCustomer(), ofCustomers), Plan: int(r.GetPlan()), Spread: int(r.GetSpread()),
+		Units: r.GetUnits(), Settles: r.GetSettles(), Server: policy.Server(r.GetServer())}
 }
 
 // Request is what a REQUESTED record holds.
 func (d *Decoder) Request(r *capturepb.Record) policy.Request {
 	return policy.Request{ID: r.GetId(), Class: int(r.GetClass()), Plan: int(r.GetPlan()),
 		Customer: d.key.show(r.GetCustomer(), ofCustomers), Left: r.GetLeft(), Units: r.GetUnits(),
-		Spread: int(r.GetSpread()), Again: r.GetAgain()}
+		Spread: int(r.GetSpread()), Again: r.GetAgain(), Filling: r.GetFilling()}
 }
 
 // Outcome is what an ENDED record holds.
--- a/capture/encode.go
+++ b/capture/encode.go
@@ -22,6 +22,7 @@
 	fKind, fAfter, fID, fClass, fPlan, fCustomer, fLeft, fUnits, fSpread, _, fAgain = 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11
 	fServer, fAttempt, fStatus, fLatency, fTerminal, fSettled, fUsed, fLoad         = 12, 13, 14, 15, 16, 17, 18, 19
 	fToken, fSpan, fName, fAmount, fList, fEntries, fSettings, fSeed, fAt, fText    = 20, 21, 22, 23, 24, 25, 26, 27, 28, 29
+	fFilling, fSettles                                                              = 30, 31
 	eServer, eState, eWeight, eZone, eCell, _, eReadyAt                             = 1, 2, 3, 4, 5, 6, 7
 )
 
@@ -173,6 +174,7 @@
 	e.float(fUnits, r.Units)
 	e.uint(fSpread, uint64(int64(r.Spread)))
 	e.bool(fAgain, r.Again)
+	e.bool(fFilling, r.Filling)
 	e.end()
 }
 
@@ -255,6 +257,43 @@
 	e.end()
 }
 
+// Filled implements gatekeeper.Recorder.
+func (e *Encoder) Filled(now policy.Micros, id uint32) {
+	e.now = now
+	e.begin(capturepb.Kind_FILLED)
+	e.uint(fID, uint64(id))
+	e.end()
+}
+
+// Progressed implements gatekeeper.Recorder.
+func (e *Encoder) Progressed(now policy.Micros, at policy.Server) {
+	e.now = now
+	e.begin(capturepb.Kind_PROGRESSED)
+	e.fixed(fServer, uint64(at))
+	e.end()
+}
+
+// Joined implements gatekeeper.Recorder.
+func (e *Encoder) Joined(now, born policy.Micros) {
+	e.now = now
+	e.begin(capturepb.Kind_JOINED)
+	e.uint(fAt, uint64(born))
+	e.end()
+}
+
+// Beside implements gatekeeper.Recorder.
+func (e *Encoder) Beside(now policy.Micros, d policy.Draw) {
+	e.now = now
+	e.begin(capturepb.Kind_BESIDE)
+	e.uint(fPlan, uint64(int64(d.Plan)))
+	e.fixed(fCustomer, e.hide(d.Customer, ofCustomers))
+	e.float(fUnits, d.Units)
+	e.uint(fSpread, uint64(int64(d.Spread)))
+	e.fixed(fServer, uint64(d.Server))
+	e.bool(fSettles, d.Settles)
+	e.end()
+}
+
 // Rang implements gatekeeper.Recorder.
 func (e *Encoder) Rang(now policy.Micros, token uint64) {
 	e.now = now
@@ -267,7 +306,7 @@
 func (e *Encoder) Recovered(now policy.Micros, s policy.Snapshot, exact bool) {
 	e.now = now
 	e.begin(capturepb.Kind_RECOVERED)
-	e.json(s)
+	e.json(e.key.hideState(s))
 	e.bool(fAgain, exact)
 	e.end()
 }
@@ -283,10 +322,10 @@
 }
 
 // stateRecord is a checkpoint as the one record of its block.
-func stateRecord(s *policy.Snapshot) []byte {
+func stateRecord(s *policy.Snapshot, key *Key) []byte {
 	var e Encoder
 	e.uint(fKind, uint64(capturepb.Kind_CHECKPOINT))
-	e.json(s)
+	e.json(key.hideState(*s))
 	return protowire.AppendBytes(nil, e.record)
 }
 
--- a/capture/key.go
+++ b/capture/key.go
@@ -9,6 +9,9 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"slices"
+
+	"foxwood/policy"
 )
 
 const (
@@ -119,6 +122,27 @@
 	return uint64(l)<<32 | uint64(r)
 }
 
+// hideState is a state with the customers' keys and the counter names in it replaced, as
+// records have them. It leaves the state that it is given as it is.
+func (k *Key) hideState(s policy.Snapshot) policy.Snapshot { return k.turn(s, k.hide) }
+
+// showState is the state that hideState replaced.
+func (k *Key) showState(s policy.Snapshot) policy.Snapshot { return k.turn(s, k.show) }
+
+func (k *Key) turn(s policy.Snapshot, by func(uint64, byte) uint64) policy.Snapshot {
+	if !k.Set() {
+		return s
+	}
+	s.Clients, s.Draws = slices.Clone(s.Clients), slices.Clone(s.Draws)
+	for i := range s.Clients {
+		s.Clients[i].Key = by(s.Clients[i].Key, ofCustomers)
+	}
+	for i := range s.Draws {
+		s.Draws[i].Name = by(s.Draws[i].Name, ofNames)
+	}
+	return s
+}
+
 func (k *Key) round(n, tweak byte, half uint32) uint32 {
 	h := hmac.New(sha256.New, k.customers)
 	h.Write(binary.LittleEndian.AppendUint32([]byte{n, tweak}, half))
--- a/capture/writer.go
+++ b/capture/writer.go
@@ -180,7 +180,7 @@
 		// early would be wrong by no record, as a replay stops at either
 		w.lost += w.dropped.Swap(0)
 		if b.state != nil {
-			b.raw = stateRecord(b.state)
+			b.raw = stateRecord(b.state, &w.options.Key)
 			w.write(b)
 			continue
 		}
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -24,6 +24,14 @@
 	Listed(now policy.Micros, kind policy.ListKind, entries []policy.Entry)
 	// Classes is a table of classes in the place of the one before.
 	Classes(now policy.Micros, classes []policy.Class)
+	// Filled is a request's last byte that has come.
+	Filled(now policy.Micros, id uint32)
+	// Progressed is a worker that takes or gives bytes of an execution that is out.
+	Progressed(now policy.Micros, at policy.Server)
+	// Joined is another process of this gatekeeper that is there, with its beginning.
+	Joined(now, born policy.Micros)
+	// Beside is what that process has drawn.
+	Beside(now policy.Micros, d policy.Draw)
 	// Rang is a timer that has come due.
 	Rang(now policy.Micros, token uint64)
 	// Recovered is the state of an earlier life that is taken over; exact tells that
@@ -47,10 +55,8 @@
 	Recover(now policy.Micros, do policy.Host, s policy.Snapshot, exact bool)
 	Standings(now policy.Micros) ([]policy.Standing, float64)
 	Snapshot() policy.Snapshot
-	// Joined and Beside are calls of two processes side by side; no capture is kept then.
 	Joined(s policy.Snapshot)
 	Beside(now policy.Micros, d policy.Draw)
-	// Filled and Progress are calls of large bodies, which no capture tells of.
 	Filled(now policy.Micros, id uint32)
 	Progress(now policy.Micros, at policy.Server)
 }
@@ -129,6 +135,29 @@
 	m.Gateway.Recover(now, m.to(do), s, exact)
 }
 
+func (m *recorded) Filled(now policy.Micros, id uint32) {
+	m.rec.Checkpoint(now, m.snapshot)
+	m.rec.Filled(now, id)
+	m.Gateway.Filled(now, id)
+}
+
+func (m *recorded) Progress(now policy.Micros, at policy.Server) {
+	m.rec.Checkpoint(now, m.snapshot)
+	m.rec.Progressed(now, at)
+	m.Gateway.Progress(now, at)
+}
+
+func (m *recorded) Joined(s policy.Snapshot) {
+	m.rec.Joined(s.Now, s.Born)
+	m.Gateway.Joined(s)
+}
+
+func (m *recorded) Beside(now policy.Micros, d policy.Draw) {
+	m.rec.Checkpoint(now, m.snapshot)
+	m.rec.Beside(now, d)
+	m.Gateway.Beside(now, d)
+}
+
 // tee is a host whose calls a recorder is told first.
 type tee struct {
 	policy.Host
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -81,6 +81,7 @@
 
 func newMeasureCapture() *cobra.Command {
 	o := trial.Options{Progress: os.Stderr, Loads: []float64{0.5}, Fleets: trial.Fleets()[:1]}
+	e := trial.Events{Runs: 15, Requests: 100000}
 	var lives int
 	c := &cobra.Command{
 		Use:   "capture",
@@ -92,12 +93,17 @@
 			if err := trial.Captures(ctx, o, c.OutOrStdout()); err != nil {
 				return err
 			}
+			e.Seed = o.Seed
+			if err := e.Write(c.OutOrStdout()); err != nil {
+				return err
+			}
 			r := trial.Restarts{Lives: lives, Seed: o.Seed, Down: 300}
 			return r.Write(c.OutOrStdout())
 		},
 	}
 	f := c.Flags()
 	f.IntVar(&o.Runs, "runs", 10, "how often each is played")
+	f.IntVar(&e.Large, "large", 2500000, "requests of the capture that some are explained from")
 	f.IntVar(&lives, "lives", 200, "restarts that are simulated, cold and warm each")
 	f.DurationVar(&o.For, "for", 4*time.Second, "how long a run is")
 	f.DurationVar(&o.Settle, "settle", time.Second, "of it, not counted")
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"foxwood/capture"
 	"foxwood/capture/capturepb"
@@ -166,6 +167,10 @@
 		return err
 	}
 	p.report.Checkpoints++
+	if want.Version != policy.SnapshotVersion {
+		p.note("checkpoints hold a state of version %d, not %d: none is gone on from or compared", want.Version, policy.SnapshotVersion)
+		return nil
+	}
 	if p.skip {
 		if p.o.Begin == nil {
 			return nil
@@ -196,6 +201,13 @@
 	return nil
 }
 
+// note keeps what is worth saying, once.
+func (p *player) note(format string, a ...any) {
+	if text := fmt.Sprintf(format, a...); !slices.Contains(p.report.Notes, text) {
+		p.report.Notes = append(p.report.Notes, text)
+	}
+}
+
 func (p *player) differ(d Difference) {
 	if len(p.report.Differences) < p.o.Differences {
 		p.report.Differences = append(p.report.Differences, d)
@@ -253,6 +265,14 @@
 			return err
 		}
 		p.module.Recover(at, p, s, r.GetAgain())
+	case capturepb.Kind_FILLED:
+		p.module.Filled(at, r.GetId())
+	case capturepb.Kind_PROGRESSED:
+		p.module.Progress(at, policy.Server(r.GetServer()))
+	case capturepb.Kind_JOINED:
+		p.module.Joined(policy.Snapshot{Now: at, Born: r.GetAt()})
+	case capturepb.Kind_BESIDE:
+		p.module.Beside(at, p.dec.Beside(r))
 	case capturepb.Kind_RANG:
 		p.module.Timer(at, p, r.GetToken())
 	default:
--- a/internal/replay/text.go
+++ b/internal/replay/text.go
@@ -75,8 +75,8 @@
 		return fmt.Sprintf("began seed=%x", r.GetSeed())
 	case capturepb.Kind_REQUESTED:
 		q := d.Request(r)
-		return fmt.Sprintf("requested request=%d class=%d plan=%d customer=%016x left_ms=%.3f units=%v spread=%d again=%v",
-			q.ID, q.Class, q.Plan, q.Customer, ms(q.Left), q.Units, q.Spread, q.Again)
+		return fmt.Sprintf("requested request=%d class=%d plan=%d customer=%016x left_ms=%.3f units=%v spread=%d again=%v filling=%v",
+			q.ID, q.Class, q.Plan, q.Customer, ms(q.Left), q.Units, q.Spread, q.Again, q.Filling)
 	case capturepb.Kind_GONE:
 		return fmt.Sprintf("gone request=%d", r.GetId())
 	case capturepb.Kind_ENDED:
@@ -90,6 +90,15 @@
 		return "classes"
 	case capturepb.Kind_RECOVERED:
 		return fmt.Sprintf("recovered exact=%v", r.GetAgain())
+	case capturepb.Kind_FILLED:
+		return fmt.Sprintf("filled request=%d", r.GetId())
+	case capturepb.Kind_PROGRESSED:
+		return fmt.Sprintf("progressed worker=%016x", r.GetServer())
+	case capturepb.Kind_JOINED:
+		return fmt.Sprintf("joined born=%d", r.GetAt())
+	case capturepb.Kind_BESIDE:
+		b := d.Beside(r)
+		return fmt.Sprintf("beside plan=%d customer=%016x units=%v spread=%d settles=%v worker=%016x", b.Plan, b.Customer, b.Units, b.Spread, b.Settles, uint64(b.Server))
 	case capturepb.Kind_RANG:
 		return fmt.Sprintf("rang token=%x", r.GetToken())
 	case capturepb.Kind_NAMED:
--- a/internal/service/replace.go
+++ b/internal/service/replace.go
@@ -37,10 +37,9 @@
 	listener *link.Listener
 }
 
-// meeting is where processes for a configuration meet, empty where they may not: a capture
-// is of one process's life and knows of no other's draws.
+// meeting is where processes for a configuration meet, empty where they may not.
 func meeting(c config.Config) string {
-	if os.Getenv("TMPDIR") == "" || c.Capture != nil {
+	if os.Getenv("TMPDIR") == "" {
 		return ""
 	}
 	return handover.Path(os.TempDir(), c.Listen)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -209,7 +209,7 @@
 	}
 	past := before.state()
 	if c.Capture != nil {
-		if c.Capture.Warm {
+		if c.Capture.Warm && past == nil { // who is in service knows better than a capture
 			past = earlier(c, time.Now())
 		}
 		if s.capture, err = openCapture(c, clock, seed); err != nil {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -38,6 +38,7 @@
 	Draws    []DrawRecord
 
 	InFlight, Stuck    int
+	Filling            int
 	Answered           Micros
 	Bound              float64
 	BoundSet           bool
@@ -77,6 +78,8 @@
 	Sent   Micros
 	Open   bool
 	Load   float64
+
+	Filling bool
 }
 
 // RequestRecord is one request.
@@ -90,7 +93,7 @@
 	Open                       int
 	Sent, Done, Held           bool
 	Drawing, Admitted          bool
-	Uncertain                  bool
+	Uncertain, Filling         bool
 	RanOn                      int // server, -1 where none
 	RanAt                      Micros
 	Taken                      float64
@@ -180,7 +183,7 @@
 // Snapshot is the module's state. It may be taken between two calls.
 func (g *Gateway) Snapshot() Snapshot {
 	s := Snapshot{Version: SnapshotVersion, Settings: g.set, RNG: g.rng, Now: g.now, Born: g.born, InForce: len(g.classes), WheelAt: g.wheelAt,
-		InFlight: g.inFlight, Stuck: g.stuck, Answered: g.answered, Bound: g.bound, BoundSet: g.boundSet, CutAt: g.cutAt,
+		InFlight: g.inFlight, Stuck: g.stuck, Filling: g.filling, Answered: g.answered, Bound: g.bound, BoundSet: g.boundSet, CutAt: g.cutAt,
 		IdleAt: g.idleAt, Idle: g.idle, Answers: g.answers, Stretch: g.stretch, DoneRate: g.doneRate, SendRate: g.sendRate, WarmLoad: g.warmLoad,
 		LastRate: g.lastRate, Sends: g.sends, Dones: g.dones, Calls: g.calls, CallAt: g.callAt, CapWindow: g.capWindow}
 	var classes index[*classState]
@@ -248,12 +251,12 @@
 func (g *Gateway) requestRecord(q *request, classes *index[*classState], clients *index[*customer], servers *index[*server]) RequestRecord {
 	r := RequestRecord{ID: q.id, Class: classes.of(q.class), Plan: q.plan.index, Client: clients.of(q.cust), Units: q.units, Level: q.level,
 		Arrived: q.arrived, Deadline: q.deadline, Halfway: q.halfway, Open: q.open, Sent: q.sent, Done: q.done, Held: q.held,
-		Drawing: q.drawing, Admitted: q.admitted, Uncertain: q.uncertain, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken, LeasedAt: q.leasedAt}
+		Drawing: q.drawing, Admitted: q.admitted, Uncertain: q.uncertain, Filling: q.filling, RanOn: -1, RanAt: q.ranAt, Taken: q.tokensTaken, LeasedAt: q.leasedAt}
 	if q.ranOn != nil {
 		r.RanOn = servers.of(q.ranOn)
 	}
 	for _, a := range q.attempts {
-		r.Attempts = append(r.Attempts, AttemptRecord{servers.of(a.srv), a.sent, a.open, a.load})
+		r.Attempts = append(r.Attempts, AttemptRecord{servers.of(a.srv), a.sent, a.open, a.load, a.filling})
 	}
 	return r
 }
@@ -365,7 +368,7 @@
 		}
 	}
 	g.rng, g.now, g.born, g.wheelAt = s.RNG, s.Now, s.Born, s.WheelAt
-	g.inFlight, g.stuck, g.answered, g.bound, g.boundSet = s.InFlight, s.Stuck, s.Answered, s.Bound, s.BoundSet
+	g.inFlight, g.stuck, g.filling, g.answered, g.bound, g.boundSet = s.InFlight, s.Stuck, s.Filling, s.Answered, s.Bound, s.BoundSet
 	g.cutAt, g.idleAt, g.idle, g.answers, g.stretch = s.CutAt, s.IdleAt, s.Idle, s.Answers, s.Stretch
 	g.doneRate, g.sendRate, g.warmLoad, g.lastRate, g.sends, g.dones = s.DoneRate, s.SendRate, s.WarmLoad, s.LastRate, s.Sends, s.Dones
 	g.calls, g.callAt, g.capWindow = s.Calls, s.CallAt, s.CapWindow
@@ -389,12 +392,12 @@
 func (g *Gateway) restoreRequest(r *RequestRecord, classes []*classState, clients []*customer, servers []*server) *request {
 	q := &request{id: r.ID, class: classes[r.Class], plan: &g.plans[r.Plan], cust: clients[r.Client], units: r.Units, level: r.Level,
 		arrived: r.Arrived, deadline: r.Deadline, halfway: r.Halfway, open: r.Open, sent: r.Sent, done: r.Done, held: r.Held,
-		drawing: r.Drawing, admitted: r.Admitted, uncertain: r.Uncertain, ranAt: r.RanAt, tokensTaken: r.Taken, leasedAt: r.LeasedAt}
+		drawing: r.Drawing, admitted: r.Admitted, uncertain: r.Uncertain, filling: r.Filling, ranAt: r.RanAt, tokensTaken: r.Taken, leasedAt: r.LeasedAt}
 	if r.RanOn >= 0 {
 		q.ranOn = servers[r.RanOn]
 	}
 	for i, a := range r.Attempts {
-		q.attempts = append(q.attempts, &attempt{req: q, srv: servers[a.Server], n: i, sent: a.Sent, open: a.Open, load: a.Load})
+		q.attempts = append(q.attempts, &attempt{req: q, srv: servers[a.Server], n: i, sent: a.Sent, open: a.Open, load: a.Load, filling: a.Filling})
 	}
 	return q
 }
