Draw what other settings decide over time, show progress, and explain windows on the counter

A bar on standard error where that is a terminal that the decisions do not go to as well. foxwood explain did not know of the windows that one of many gatekeepers draws on: a refusal by them read as "the counter's answer did not let it in".

--- a/capture/set.go
+++ b/capture/set.go
@@ -124,6 +124,20 @@
 // Records is how many records have been given out.
 func (s *Set) Records() int { return s.records }
 
+// Read is how many bytes of the segments have been read, of how many.
+func (s *Set) Read() (n, of int64) {
+	for i, seg := range s.segments {
+		if i < s.at {
+			n += seg.Size
+		}
+		of += seg.Size
+	}
+	if s.reader != nil {
+		n += s.reader.at
+	}
+	return n, of
+}
+
 // Close ends reading.
 func (s *Set) Close() {
 	if s.reader != nil {
--- a/internal/command/capture.go
+++ b/internal/command/capture.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -243,7 +244,7 @@
 }
 
 func newReplay() *cobra.Command {
-	var keyFile, until, against string
+	var keyFile, until, against, chart string
 	var request uint32
 	var quiet bool
 	c := &cobra.Command{
@@ -259,10 +260,15 @@
 				return err
 			}
 			defer set.Close()
+			bar := newProgress(c.ErrOrStderr(), against == "" && !quiet, set.Read)
+			defer bar.end()
 			if against != "" {
-				return compare(c.OutOrStdout(), set, key, against)
+				return compare(c.OutOrStdout(), set, key, against, chart, bar)
 			}
-			o := replay.Options{Request: request}
+			if chart != "" {
+				return usageError{errors.New("--chart is of --against")}
+			}
+			o := replay.Options{Request: request, Stop: func() bool { bar.step(); return false }}
 			if !quiet {
 				o.Log = c.OutOrStdout()
 			}
@@ -277,6 +283,7 @@
 			if err != nil {
 				return err
 			}
+			bar.end()
 			e := c.ErrOrStderr()
 			for _, n := range report.Notes {
 				fmt.Fprintln(e, "note:", n)
@@ -294,6 +301,7 @@
 	}
 	keyFlag(c, &keyFile)
 	c.Flags().StringVar(&against, "against", "", "configuration whose settings are compared with the recorded ones, on the same inputs")
+	c.Flags().StringVar(&chart, "chart", "", "SVG file to draw what --against finds into")
 	c.Flags().StringVar(&until, "until", "", "time to stop at, as 2026-12-01T13:00:00.5Z")
 	c.Flags().Uint32Var(&request, "request", 0, "only decisions on the request with this number")
 	c.Flags().BoolVarP(&quiet, "quiet", "q", false, "print no decisions")
@@ -301,7 +309,7 @@
 }
 
 // compare plays a capture by the settings of a configuration.
-func compare(to io.Writer, set *capture.Set, key *capture.Key, file string) error {
+func compare(to io.Writer, set *capture.Set, key *capture.Key, file, chart string, bar *progress) error {
 	c, err := config.Read(file)
 	if err != nil {
 		return err
@@ -315,10 +323,21 @@
 			other.Classes = s.Classes
 		}
 		return policy.New(other, seed)
-	})
+	}, bar.step)
 	if err != nil {
 		return err
 	}
+	bar.end()
+	if chart != "" {
+		f, err := os.Create(chart)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := a.Chart(f); err != nil {
+			return err
+		}
+	}
 	return a.Write(to)
 }
 
--- a/internal/replay/against.go
+++ b/internal/replay/against.go
@@ -32,14 +32,17 @@
 type Against struct {
 	First  *Difference
 	Counts map[kindOf]*[4][4]int // recorded fate, other fate
+	Times  map[int64]*[4][4]int  // the same, by the second in which requests came
 	order  []kindOf
 }
 
 // Compare plays a capture to modules that other makes, and counts what becomes of requests.
-func Compare(from Source, key *capture.Key, other func(s policy.Settings, seed uint64) gatekeeper.Module) (*Against, error) {
-	a := &Against{Counts: map[kindOf]*[4][4]int{}}
+// Where shown is not nil it is called with each record.
+func Compare(from Source, key *capture.Key, other func(s policy.Settings, seed uint64) gatekeeper.Module, shown func()) (*Against, error) {
+	a := &Against{Counts: map[kindOf]*[4][4]int{}, Times: map[int64]*[4][4]int{}}
 	type one struct {
 		kind    kindOf
+		second  int64
 		was, is fate
 	}
 	open := map[uint32]*one{}
@@ -51,6 +54,11 @@
 			a.order = append(a.order, o.kind)
 		}
 		c[o.was][o.is]++
+		if c = a.Times[o.second]; c == nil {
+			c = &[4][4]int{}
+			a.Times[o.second] = c
+		}
+		c[o.was][o.is]++
 	}
 	note := func(to *fate, kind capturepb.Kind) {
 		if *to == undecided {
@@ -64,7 +72,7 @@
 			}
 		}
 	}
-	seen := &noting{Source: from, note: func(r *capturepb.Record) {
+	seen := &noting{Source: from, note: func(r *capturepb.Record, at policy.Micros) {
 		switch r.GetKind() {
 		case capturepb.Kind_BEGAN:
 			for _, o := range open {
@@ -72,14 +80,14 @@
 			}
 			clear(open)
 		case capturepb.Kind_REQUESTED:
-			open[r.GetId()] = &one{kind: kindOf{int(r.GetClass()), int(r.GetPlan())}}
+			open[r.GetId()] = &one{kind: kindOf{int(r.GetClass()), int(r.GetPlan())}, second: at / 1e6}
 		case capturepb.Kind_SEND, capturepb.Kind_REFUSE, capturepb.Kind_FAIL:
 			if o := open[r.GetId()]; o != nil {
 				note(&o.was, r.GetKind())
 			}
 		}
 	}}
-	report, err := Run(seen, key, Options{Make: other, Differences: 1 << 30, Decided: func(c Call, _ policy.Micros) {
+	report, err := Run(seen, key, Options{Make: other, Differences: 1 << 30, Stop: watched(shown), Decided: func(c Call, _ policy.Micros) {
 		if o := open[c.ID]; o != nil {
 			note(&o.is, c.Kind)
 		}
@@ -97,17 +105,25 @@
 	return a, nil
 }
 
+// watched is a Stop that never stops.
+func watched(shown func()) func() bool {
+	if shown == nil {
+		return nil
+	}
+	return func() bool { shown(); return false }
+}
+
 // noting is a source that shows each record before it is played.
 type noting struct {
 	Source
-	note func(*capturepb.Record)
+	note func(*capturepb.Record, policy.Micros)
 }
 
 // Next implements Source.
 func (n *noting) Next() (*capturepb.Record, policy.Micros, error) {
 	r, at, err := n.Source.Next()
 	if err == nil {
-		n.note(r)
+		n.note(r, at)
 	}
 	return r, at, err
 }
--- a/internal/replay/audit_test.go
+++ b/internal/replay/audit_test.go
@@ -82,7 +82,7 @@
 	a, err := Compare(&set, &key, func(s policy.Settings, seed uint64) gatekeeper.Module {
 		s.Plans[1].Rate, s.Plans[1].Burst = 1, 2
 		return policy.New(s, seed)
-	})
+	}, nil)
 	if err != nil || a.First == nil {
 		t.Fatalf("%+v, %v", a, err)
 	}
@@ -90,13 +90,14 @@
 	if err := a.Write(&b); err != nil || !strings.Contains(b.String(), "the first that differs: at ") {
 		t.Errorf("%v\n%s", err, b.String())
 	}
+	chartHolds(t, a)
 	c := a.Counts[kindOf{0, 1}]
 	if c[sent][refused] < 17 || c[refused][sent] > 0 {
 		t.Errorf("%v", c)
 	}
 	same := recordedLife(t, 1.7e12, 40, 1)
 	defer same.Close()
-	if a, err := Compare(&same, &key, func(s policy.Settings, seed uint64) gatekeeper.Module { return policy.New(s, seed) }); err != nil || a.First != nil {
+	if a, err := Compare(&same, &key, func(s policy.Settings, seed uint64) gatekeeper.Module { return policy.New(s, seed) }, nil); err != nil || a.First != nil {
 		t.Errorf("the same settings: %+v, %v", a.First, err)
 	}
 }
--- /dev/null
+++ b/internal/replay/chart.go
@@ -0,0 +1,132 @@
+package replay
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// The chart's measures, in pixels.
+const (
+	chartWide, chartHigh = 960, 420
+	plotLeft, plotTop    = 70, 70
+	plotWide, plotHigh   = 860, 270
+	chartSteps           = 120 // points at most
+	chartTicks           = 5
+)
+
+// step is a stretch of time in a comparison: requests a second.
+type step struct{ sentWas, sentIs, refusedWas, refusedIs, differ float64 }
+
+// steps brings the comparison's seconds together to few enough points.
+func (a *Against) steps() (first, each int64, all []step) {
+	seconds := slices.Sorted(maps.Keys(a.Times))
+	if len(seconds) == 0 {
+		return 0, 1, nil
+	}
+	first = seconds[0]
+	span := seconds[len(seconds)-1] - first + 1
+	each = (span + chartSteps - 1) / chartSteps
+	all = make([]step, (span+each-1)/each)
+	for _, at := range seconds {
+		s := &all[(at-first)/each]
+		for was, row := range a.Times[at] {
+			for is, n := range row {
+				part := float64(n) / float64(each)
+				add := func(to *float64, yes bool) {
+					if yes {
+						*to += part
+					}
+				}
+				add(&s.sentWas, fate(was) == sent)
+				add(&s.sentIs, fate(is) == sent)
+				add(&s.refusedWas, fate(was) == refused)
+				add(&s.refusedIs, fate(is) == refused)
+				add(&s.differ, was != is)
+			}
+		}
+	}
+	return first, each, all
+}
+
+// curve is one line of the chart. The dash keeps it told from the others on paper.
+type curve struct {
+	name, colour, dash string
+	of                 func(s *step) float64
+}
+
+var curves = [...]curve{
+	{"sent, recorded", "#1b6ca8", "", func(s *step) float64 { return s.sentWas }},
+	{"sent, other", "#1b6ca8", "6 4", func(s *step) float64 { return s.sentIs }},
+	{"refused, recorded", "#c0392b", "", func(s *step) float64 { return s.refusedWas }},
+	{"refused, other", "#c0392b", "6 4", func(s *step) float64 { return s.refusedIs }},
+	{"decided otherwise", "#555555", "2 3", func(s *step) float64 { return s.differ }},
+}
+
+// Chart writes the comparison as an SVG image that needs nothing else: requests a second by
+// the time that they came, and where the first decision differs.
+func (a *Against) Chart(to io.Writer) error {
+	first, each, all := a.steps()
+	top := 1.0
+	for i := range all {
+		for _, c := range curves {
+			top = max(top, c.of(&all[i]))
+		}
+	}
+	top = round(top)
+	x := func(i float64) float64 { return plotLeft + plotWide*i/max(float64(len(all)), 1) }
+	y := func(v float64) float64 { return plotTop + plotHigh*(1-v/top) }
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%[1]d" height="%[2]d" viewBox="0 0 %[1]d %[2]d" font-family="sans-serif" font-size="13">
+<title>Recorded and other decisions</title>
+<rect width="%[1]d" height="%[2]d" fill="white"/>
+<text x="%[3]d" y="28" font-size="17">Recorded and other decisions on the same requests, a second</text>
+`, chartWide, chartHigh, plotLeft)
+	for i, c := range curves {
+		at := plotLeft + 172*i
+		fmt.Fprintf(&b, `<line x1="%d" y1="48" x2="%d" y2="48" stroke="%s" stroke-width="2" stroke-dasharray="%s"/><text x="%d" y="52">%s</text>
+`, at, at+28, c.colour, cmp.Or(c.dash, "none"), at+34, c.name)
+	}
+	for i := range chartTicks + 1 {
+		v := top * float64(i) / chartTicks
+		fmt.Fprintf(&b, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#dddddd"/><text x="%d" y="%.1f" text-anchor="end">%g</text>
+`, plotLeft, y(v), plotLeft+plotWide, y(v), plotLeft-8, y(v)+4, v)
+		part := float64(len(all)) * float64(i) / chartTicks
+		at := time.Unix(first+int64(part*float64(each)), 0).UTC()
+		fmt.Fprintf(&b, `<text x="%.1f" y="%d" text-anchor="middle">%s</text>
+`, x(part), plotTop+plotHigh+22, at.Format("15:04:05"))
+	}
+	fmt.Fprintf(&b, `<text x="%d" y="%d" text-anchor="middle">%s, UTC; points of %d s</text>
+`, plotLeft+plotWide/2, plotTop+plotHigh+48, time.Unix(first, 0).UTC().Format("2006-01-02"), each)
+	if a.First != nil {
+		at := min(max(x(float64(a.First.At/1e6-first)/float64(each)), plotLeft), plotLeft+plotWide)
+		fmt.Fprintf(&b, `<line x1="%.1f" y1="%d" x2="%.1f" y2="%d" stroke="black"/><text x="%.1f" y="%d">first difference</text>
+`, at, plotTop, at, plotTop+plotHigh, min(at+5, plotLeft+plotWide-100), plotTop+12)
+	}
+	for _, c := range curves {
+		fmt.Fprintf(&b, `<polyline fill="none" stroke="%s" stroke-width="2" stroke-dasharray="%s" points="`, c.colour, cmp.Or(c.dash, "none"))
+		for i := range all {
+			fmt.Fprintf(&b, "%.1f,%.1f ", x(float64(i)+0.5), y(c.of(&all[i])))
+		}
+		b.WriteString("\"/>\n")
+	}
+	b.WriteString("</svg>\n")
+	_, err := to.Write(b.Bytes())
+	return err
+}
+
+// round is the next of 1, 2 and 5 times a power of ten.
+func round(v float64) float64 {
+	base := math.Pow(10, math.Floor(math.Log10(v)))
+	for _, n := range []float64{1, 2, 5} {
+		if v <= n*base {
+			return n * base
+		}
+	}
+	return 10 * base
+}
--- a/internal/replay/explain.go
+++ b/internal/replay/explain.go
@@ -29,7 +29,8 @@
 	began   policy.Micros
 	before  policy.View // before the call under way
 	kind    capturepb.Kind
-	status  string
+	status  string  // of the answer that the call under way tells of
+	total   float64 // the counter's, where it is one of it
 }
 
 // ErrNoRequest tells that a capture does not hold a request.
@@ -77,6 +78,8 @@
 				e.status, float64(r.GetLatency())/1000)
 			e.over = r.GetTerminal()
 		}
+	case capturepb.Kind_COUNTED:
+		e.status, e.total = status(r.GetStatus()), r.GetAmount()
 	case capturepb.Kind_GONE:
 		if e.found && r.GetId() == e.number {
 			fmt.Fprintf(e.to, "%s its client left\n", e.since(at))
@@ -125,6 +128,14 @@
 		if c.Ceiling {
 			fmt.Fprintf(e.to, "  ceiling   %.2f units in our part\n", c.Guard)
 		}
+		for _, w := range c.Windows {
+			spent := ""
+			if w.Spent {
+				spent = "; this one is known to be spent"
+			}
+			fmt.Fprintf(e.to, "  window    of its %s, drawn on the counter: %.2f units for all gatekeepers in each %.0f ms%s\n",
+				ofWhat(w), w.Pool, float64(w.Lasts)/1000, spent)
+		}
 	}
 	for _, s := range v.Servers {
 		note := ""
@@ -187,10 +198,33 @@
 	return fmt.Sprintf(": cost %.2f; %d of %d that take work cost less, but are cold, tried before, outside of our subset, or lost by chance", cost, cheaper, open)
 }
 
+func ofWhat(w policy.WindowView) string {
+	if w.Lease {
+		return "ceiling"
+	}
+	return "quota"
+}
+
+// spent tells which window of its customer's, drawn on by all gatekeepers, has no more.
+func (e *explainer) spent() string {
+	for _, w := range e.before.Customer.Windows {
+		switch {
+		case w.Spent:
+			return fmt.Sprintf("all gatekeepers together have spent the %.2f units that its %s has for this window of %.0f ms", w.Pool, ofWhat(w), float64(w.Lasts)/1000)
+		case e.kind == capturepb.Kind_COUNTED && e.status == "ok" && e.total > w.Pool:
+			return fmt.Sprintf("with it all gatekeepers together would draw %.2f of the %.2f units that its %s has for a window of %.0f ms", e.total, w.Pool, ofWhat(w), float64(w.Lasts)/1000)
+		}
+	}
+	return ""
+}
+
 // whyRefused finds the bound that the state before the refusal had reached.
 func (e *explainer) whyRefused() string {
 	v, c, units := &e.before, &e.before.Customer, e.request.Units
 	beyond := func() string {
+		if why := e.spent(); why != "" {
+			return why
+		}
 		switch {
 		case v.Known && c.Ceiling && c.Guard < units:
 			return fmt.Sprintf("our part of its ceiling holds %.2f of its %g units", c.Guard, units)
@@ -208,7 +242,7 @@
 		if why := beyond(); why != "" {
 			return why + ", by what the counter said"
 		}
-		return "the counter's answer did not let it in"
+		return fmt.Sprintf("the counter's answer (%s, %.2f) did not let it in", e.status, e.total)
 	case capturepb.Kind_ENDED:
 		return fmt.Sprintf("its attempt ended (%s) and there is no time, try or worker left for another", e.status)
 	}
--- a/policy/view.go
+++ b/policy/view.go
@@ -34,6 +34,17 @@
 	Guard      float64 // in our part of the ceiling's store
 	Pending    float64 // units admitted and not sent
 	Open       int     // attempts out
+	// Windows are what is drawn on the counter by windows of time, where our own part is too
+	// thin: the quota's, and a leased part of the ceiling's.
+	Windows []WindowView
+}
+
+// WindowView is what all gateways may draw together in one window of time.
+type WindowView struct {
+	Lease bool // of the ceiling
+	Pool  float64
+	Lasts Micros
+	Spent bool // the present one is known to be
 }
 
 // ServerView is the record of a server.
@@ -78,9 +89,20 @@
 			v.Customer.HeardAge = now - c.heardAt
 		}
 	}
+	if g.thin(&c) {
+		v.Customer.Windows = append(v.Customer.Windows, g.windowView(&c, drawUnits))
+	}
+	if g.leased(c.plan) {
+		v.Customer.Windows = append(v.Customer.Windows, g.windowView(&c, drawLease))
+	}
 	return v
 }
 
+func (g *Gateway) windowView(c *customer, kind int) WindowView {
+	n, window, pool := g.terms(c, kind)
+	return WindowView{Lease: kind == drawLease, Pool: pool, Lasts: window, Spent: c.spent[kind] == n}
+}
+
 // Standings tells what the module thinks of its servers, and how many attempts it
 // would have out at once. It changes nothing.
 func (g *Gateway) Standings(now Micros) (list []Standing, bound float64) {
