--- /dev/null
+++ b/internal/replay/kept_test.go
@@ -0,0 +1,81 @@
+package replay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"path/filepath"
+	"testing"
+
+	"foxwood/capture"
+	"foxwood/capture/capturepb"
+	"foxwood/policy"
+)
+
+// TestPastFailuresAreReplayedAlikeTwice plays the captures of what has gone wrong once
+// (internal/service, TestKeepPastFailures). A later build may decide otherwise than the one
+// that recorded them, but alike each time, without a crash, and with one end for a request.
+func TestPastFailuresAreReplayedAlikeTwice(t *testing.T) {
+	for name, want := range map[string]struct {
+		lives int
+		kinds []capturepb.Kind // what it is kept for
+	}{
+		"ranks-lost-at-sighup":  {1, []capturepb.Kind{capturepb.Kind_CLASSES}},
+		"counter-late-and-lost": {1, []capturepb.Kind{capturepb.Kind_COUNT, capturepb.Kind_COUNTED, capturepb.Kind_REFUSE}},
+		"workers-that-fail":     {1, []capturepb.Kind{capturepb.Kind_ENDED, capturepb.Kind_REFUSE}},
+		"large-bodies":          {1, []capturepb.Kind{capturepb.Kind_FILLED, capturepb.Kind_PROGRESSED, capturepb.Kind_GONE}},
+		"killed-within-a-block": {2, []capturepb.Kind{capturepb.Kind_RECOVERED}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			segments, err := capture.Find(filepath.Join("testdata", "kept", name))
+			if err != nil {
+				t.Fatal(err)
+			}
+			key := capture.Key{}
+			kinds := map[capturepb.Kind]int{}
+			for set := capture.NewSet(segments, &key); ; {
+				r, _, err := set.Next()
+				var cut *capture.Cut
+				switch {
+				case errors.Is(err, io.EOF):
+				case errors.As(err, &cut):
+					continue
+				case err != nil:
+					t.Fatal(err)
+				default:
+					kinds[r.GetKind()]++
+					continue
+				}
+				set.Close()
+				break
+			}
+			for _, k := range want.kinds {
+				if kinds[k] == 0 {
+					t.Errorf("holds no %s", k)
+				}
+			}
+			var logs [2]bytes.Buffer
+			for i := range logs {
+				set := capture.NewSet(segments, &key)
+				ends := map[uint32]int{}
+				report, err := Run(set, &key, Options{Log: &logs[i], Differences: 1 << 30, Decided: func(c Call, _ policy.Micros) {
+					if c.Kind == capturepb.Kind_REFUSE || c.Kind == capturepb.Kind_FAIL {
+						ends[c.ID]++
+					}
+				}})
+				set.Close()
+				if err != nil || report.Lives != want.lives || report.Calls < 10 {
+					t.Fatalf("%+v, %v", report, err)
+				}
+				for id, n := range ends {
+					if n > want.lives { // numbers begin anew with each life
+						t.Errorf("request %d was given up %d times", id, n)
+					}
+				}
+			}
+			if !bytes.Equal(logs[0].Bytes(), logs[1].Bytes()) {
+				t.Error("the second log is another")
+			}
+		})
+	}
+}
--- a/internal/service/captured_test.go
+++ b/internal/service/captured_test.go
@@ -25,6 +25,20 @@
 	if err := os.WriteFile(keyFile, []byte(hex.EncodeToString(bytes.Repeat([]byte{9}, 32))), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
+	s.keepIn(folder, keyFile)
+	key, err := capture.ReadKey(keyFile)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return folder, key
+}
+
+// keepIn makes a site's processes keep captures in a folder, by a key file where there is one.
+func (s *site) keepIn(folder, keyFile string) {
+	s.t.Helper()
+	if keyFile != "" {
+		keyFile = fmt.Sprintf("key = %q", keyFile)
+	}
 	var workers strings.Builder
 	for i, w := range s.workers {
 		fmt.Fprintf(&workers, "  worker \"s-%d\" {\n    address = %q\n  }\n", i, w)
@@ -56,7 +70,7 @@
 %s}
 capture {
   folder = %q
-  key = %q
+  %s
   warm = true
 }
 `, s.listen, workers.String(), folder, keyFile)
@@ -64,11 +78,6 @@
 	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	key, err := capture.ReadKey(keyFile)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return folder, key
 }
 
 // played replays a folder of captures, and counts its records by kind.
