Tell at the door what a capture lost, and test full and slow disks, equal times and a step

A capture's counts were kept and told nowhere: /admin/stats has edge.capture_records, _lost, _errors and _bytes where one is kept, and as before where none is.

--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -380,6 +381,94 @@
 	}
 }
 
+// TestAFullDiskIsAGapNotAnEnd: what does not fit is counted and told as lost, and what comes
+// once there is room again is kept behind a gap.
+func TestAFullDiskIsAGapNotAnEnd(t *testing.T) {
+	folder := t.TempDir()
+	w, err := newWriter(Options{Folder: folder, Name: "n0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	if err != nil {
+		t.Skip(err)
+	}
+	_ = w.file.Close()
+	w.file = full
+	record, err := proto.Marshal(&capturepb.Record{Kind: capturepb.Kind_GONE, Id: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := filled{raw: append([]byte{byte(len(record))}, record...), records: 1, first: 1e6}
+	w.write(one)
+	w.write(one) // within the second in which it is not tried again
+	if lost, errs := w.Stats.Lost.Load(), w.Stats.Errors.Load(); lost != 2 || errs != 1 {
+		t.Errorf("%d lost, %d errors told", lost, errs)
+	}
+	w.retryAt = w.retryAt.Add(-2 * retryEvery)
+	w.write(one)
+	w.end()
+	segments, err := Find(folder)
+	if err != nil || len(segments) != 2 {
+		t.Fatal(segments, err)
+	}
+	s := NewSet(segments[1:], &w.options.Key)
+	defer s.Close()
+	var gap *Gap
+	if _, _, err := s.Next(); !errors.As(err, &gap) || gap.Lost != 2 {
+		t.Errorf("the gap is told as %v", err)
+	}
+	if r, _, err := s.Next(); err != nil || r.GetId() != 3 {
+		t.Errorf("behind the gap: %v %v", r, err)
+	}
+}
+
+// TestASlowDiskHoldsNobodyUp: while nothing is written the loop goes on within a bounded
+// memory, and what found no room is a gap before what did.
+func TestASlowDiskHoldsNobodyUp(t *testing.T) {
+	folder := t.TempDir()
+	w, err := newWriter(Options{Folder: folder, Name: "n0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Encoder = newEncoder(w, &w.options.Key)
+	const blocks = 3 * queued
+	for n := range blocks {
+		w.Encoder.Gone(policy.Micros(1e6+2*n*blockAge), 1) // each closes the block before by its age
+		w.Encoder.Gone(policy.Micros(1e6+(2*n+1)*blockAge), 2)
+	}
+	if held := len(w.blocks); held != queued || w.Stats.Lost.Load() != 2*(blocks-queued) {
+		t.Fatalf("%d blocks held, %d records lost", held, w.Stats.Lost.Load())
+	}
+	go w.run() // the disk is there again
+	for w.Encoder.Gone(2e9, 9); len(w.blocks) > 0; {
+		runtime.Gosched()
+	}
+	w.Close()
+	segments, err := Find(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewSet(segments, &w.options.Key)
+	defer s.Close()
+	lost := 0
+	for {
+		_, _, err := s.Next()
+		var gap *Gap
+		if errors.As(err, &gap) {
+			lost += int(gap.Lost)
+		} else if err != nil {
+			if !errors.Is(err, io.EOF) {
+				t.Error(err)
+			}
+			break
+		}
+	}
+	if want := 2 * (blocks - queued); lost != want || s.Records() != 2*queued+1 {
+		t.Errorf("%d lost, want %d; %d records read", lost, want, s.Records())
+	}
+}
+
 // slow is a taker whose queue is always full.
 type slow struct{ n int }
 
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -403,3 +403,44 @@
 		t.Errorf("%v, %+v", err, report)
 	}
 }
+
+// TestEqualTimesAStepAndADrain: hundreds of calls at one time, a clock that goes an hour on,
+// and the end of all clients are replayed as they were.
+func TestEqualTimesAStepAndADrain(t *testing.T) {
+	folder := t.TempDir()
+	w, err := capture.NewWriter(capture.Options{Patient: true, Folder: folder, Name: "n0", Life: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(w, 1.7e12)
+	r.Workers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}})
+	ask := func(n int) {
+		for i := range n {
+			q := &gatekeeper.Request{Class: i % 2, Plan: i % 2, Customer: uint64(i % 9), Left: 1500, Units: 1, Spread: 3, Caller: r}
+			r.open = append(r.open, q)
+			r.Take(q)
+		}
+	}
+	ask(400)
+	for _, x := range r.out {
+		r.Done(x, gatekeeper.Outcome{Status: policy.OK, Units: 1})
+	}
+	r.out = nil
+	r.clock.Set(r.clock.Now() + 3600e3)
+	r.Advance()
+	ask(50)
+	r.Workers(policy.Delta, []policy.Entry{{Server: 1, State: policy.Draining}, {Server: 2, State: policy.Draining}})
+	for len(r.open) > 0 {
+		q := r.open[0]
+		r.over(q)
+		r.Gone(q)
+	}
+	w.Close()
+	report, log := play(t, folder, capture.Key{})
+	if len(report.Differences) > 0 || report.Calls < 450 || !report.Ended {
+		t.Errorf("%+v", report)
+	}
+	if _, again := play(t, folder, capture.Key{}); again != log {
+		t.Error("the second log is another")
+	}
+}
--- a/internal/service/capture_test.go
+++ b/internal/service/capture_test.go
@@ -36,7 +36,9 @@
 			}
 			return say(served)(n, s)
 		})
-		g := open(t, func(c *config.Config) { c.Capture = &config.Capture{Folder: folder, Key: keyFile} }, addr)
+		g := open(t, func(c *config.Config) {
+			c.Capture, c.Control = &config.Capture{Folder: folder, Key: keyFile}, "127.0.0.1:0"
+		}, addr)
 		for n := range 4 {
 			text := strings.Replace(request("cuota", fmt.Sprintf("basico-%d", n), "", 900), "X-Tier: mayor", "X-Tier: basico", 1)
 			text = strings.Replace(text, "00000000b4d65521", "0000000000000077", 1) // a customer of its own
@@ -58,6 +60,10 @@
 			t.Fatal(err)
 		}
 		g.ask("cuota", 2, 900)
+		g.on(g.publish)
+		if _, text := g.call("/admin/stats"); !strings.Contains(text, "edge.capture_lost:0|c\n") || strings.Contains(text, "edge.capture_records:0|") {
+			t.Errorf("the door tells\n%s", text)
+		}
 	})
 	if refused == "" {
 		t.Fatal("nothing was refused")
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -270,7 +270,14 @@
 func (s *service) Serving() bool { return s.serving.Load() }
 
 // Lines implements admin.Source.
-func (s *service) Lines() []byte { return s.figures.Lines() }
+func (s *service) Lines() []byte {
+	if s.capture == nil {
+		return s.figures.Lines()
+	}
+	c := &s.capture.Stats
+	return fmt.Appendf(slices.Clone(s.figures.Lines()), "edge.capture_records:%d|c\nedge.capture_lost:%d|c\nedge.capture_errors:%d|c\nedge.capture_bytes:%d|c\n",
+		c.Records.Load(), c.Lost.Load(), c.Errors.Load(), c.Bytes.Load())
+}
 
 // publish gives the door a copy of the figures of this moment.
 func (s *service) publish() {
