--- a/internal/command/capture.go
+++ b/internal/command/capture.go
@@ -300,7 +300,7 @@
 		},
 	}
 	keyFlag(c, &keyFile)
-	c.Flags().StringVar(&against, "against", "", "configuration whose settings are compared with the recorded ones, on the same inputs")
+	c.Flags().StringVar(&against, "against", "", "configuration whose settings are compared with the recorded ones, on the same inputs; \"recorded\" compares this build by the recorded ones")
 	c.Flags().StringVar(&chart, "chart", "", "SVG file to draw what --against finds into")
 	c.Flags().StringVar(&until, "until", "", "time to stop at, as 2026-12-01T13:00:00.5Z")
 	c.Flags().Uint32Var(&request, "request", 0, "only decisions on the request with this number")
@@ -308,17 +308,26 @@
 	return c
 }
 
+// recorded, in the place of a configuration, stands for the settings in the capture: what is
+// compared is then this build with the one that recorded.
+const recorded = "recorded"
+
 // compare plays a capture by the settings of a configuration.
 func compare(to io.Writer, set *capture.Set, key *capture.Key, file, chart string, bar *progress) error {
-	c, err := config.Read(file)
-	if err != nil {
-		return err
-	}
-	other, _, err := c.Terms()
-	if err != nil {
-		return err
+	var other policy.Settings
+	if file != recorded {
+		c, err := config.Read(file)
+		if err != nil {
+			return err
+		}
+		if other, _, err = c.Terms(); err != nil {
+			return err
+		}
 	}
 	a, err := replay.Compare(set, key, func(s policy.Settings, seed uint64) gatekeeper.Module {
+		if file == recorded {
+			return policy.New(s, seed)
+		}
 		if len(other.Classes) == 0 { // a description's classes are not of the settings
 			other.Classes = s.Classes
 		}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -28,6 +28,8 @@
 		t.Fatal(err)
 	}
 	t.Setenv("EDGE_CONFIG", "")
+	const kept = "../replay/testdata/kept/workers-that-fail"
+	chart := filepath.Join(t.TempDir(), "chart.svg")
 	for name, c := range map[string]struct {
 		args   []string
 		status int
@@ -40,6 +42,11 @@
 		"no such flag":     {[]string{"run", "--fast"}, usage, []string{"--fast"}},
 		"no such log":      {[]string{"version", "--log", "xml"}, usage, []string{"neither text nor json"}},
 		"no upstream":      {[]string{"import", "nginx", "f"}, usage, []string{"--upstream"}},
+		"no such trouble":  {[]string{"emulate", "counter", "--trouble", "10s:slow=3"}, usage, []string{"a duration"}},
+		"a kept capture":   {[]string{"capture", "verify", kept}, ok, []string{"records"}},
+		"one that was cut": {[]string{"capture", "verify", "../replay/testdata/kept/killed-within-a-block"}, failed, []string{"ends without its end block"}},
+		"other settings":   {[]string{"replay", kept, "--against", "recorded", "--chart", chart}, ok, []string{"requests", "refused: recorded"}},
+		"a chart of none":  {[]string{"replay", kept, "--chart", chart}, usage, []string{"--against"}},
 		"two faults":       {[]string{"check", conf}, failed, []string{"faulty.yaml:13: GET /cuota", "faulty.yaml:22: POST /simulacion", "2 faults"}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -76,10 +76,65 @@
 	f.Uint64Var(&c.Seed, "seed", 1, "of the service times")
 	f.IntVar(&stallEvery, "stall-every", 0, "let every so many-th request wait for good")
 	f.IntVar(&resetEvery, "reset-every", 0, "reset the connection of every so many-th request after it ran")
-	group.AddCommand(worker)
+	group.AddCommand(worker, newEmulateCounter())
 	return group
 }
 
+func newEmulateCounter() *cobra.Command {
+	var listen, troubles []string
+	var perSecond float64
+	var queue time.Duration
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "counter",
+		Short: "A counter: numbers by name, served in turn, with troubles on a time line",
+		Long: "A stand-in for the shared counter. A trouble is AT+FOR:KIND=VALUE, counted from the start:\n" +
+			"slow=TIMES, late=TIME, lose=N (every so many-th addition is acknowledged and not made),\n" +
+			"silent=PART, spoilt=PART, down, split=sum or split=keep (what counts when the sides, one for\n" +
+			"each of two addresses, rejoin); and AT:replace by one that holds nothing, AT:restore=AGE from\n" +
+			"a snapshot of that age. On SIGTERM or SIGINT it prints its counts as JSON and ends.",
+		Args: noArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if len(listen) == 0 || len(listen) > 2 || !(perSecond > 0) {
+				return usageError{fmt.Errorf("one or two of --listen, and --per-second over 0")}
+			}
+			var events []emulator.CounterEvent
+			for _, text := range troubles {
+				e, err := emulator.ParseCounterEvent(text)
+				if err != nil {
+					return usageError{err}
+				}
+				events = append(events, e)
+			}
+			counter := emulator.NewCounter(emulator.CounterConfig{Each: 1000 / perSecond, Queue: float64(queue) / float64(time.Millisecond), Seed: seed})
+			s, err := emulator.ServeCounter(counter, listen...)
+			if err != nil {
+				return err
+			}
+			for _, addr := range s.Addrs() {
+				fmt.Fprintf(cmd.OutOrStdout(), "counter at %s\n", addr)
+			}
+			stop, end := make(chan os.Signal, 1), make(chan struct{})
+			signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+			go s.Play(emulator.Moments(events), end)
+			<-stop
+			close(end)
+			s.Stop()
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(struct {
+				Calls int `json:"calls"`
+				Made  int `json:"made"`
+			}{counter.Calls, counter.Made})
+		},
+	}
+	f := c.Flags()
+	f.StringArrayVar(&listen, "listen", []string{"127.0.0.1:0"}, "address to serve at; a second one is that of the other side in a split")
+	f.StringArrayVar(&troubles, "trouble", nil, "a trouble, as 10s+5s:slow=3")
+	f.Float64Var(&perSecond, "per-second", 2000, "calls that it serves a second, in turn")
+	f.DurationVar(&queue, "queue", 100*time.Millisecond, "how long its line may be; beyond it answers 503")
+	f.Uint64Var(&seed, "seed", 1, "of the troubles that come by chance")
+	return c
+}
+
 // services reads service times: CLASS=MEAN or CLASS=MEAN/CV.
 func services(texts []string) (map[string]emulator.Service, error) {
 	all := map[string]emulator.Service{}
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -75,10 +75,23 @@
 	}
 	proxy.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to serve at")
 	proxy.Flags().StringSliceVar(&workers, "workers", nil, "addresses of workers")
-	group.AddCommand(transports, newMeasureCapture(), proxy)
+	group.AddCommand(transports, newMeasureCapture(), newMeasureCounter(), proxy)
 	return group
 }
 
+func newMeasureCounter() *cobra.Command {
+	var o trial.Counters
+	c := &cobra.Command{
+		Use:   "counter",
+		Short: "What several gatekeepers hold banks to while their counter is in trouble, in simulated time",
+		Args:  noArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return o.Write(c.OutOrStdout()) },
+	}
+	c.Flags().IntVar(&o.Runs, "runs", 200, "how often each trouble is played")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of the first run, one more in each")
+	return c
+}
+
 func newMeasureCapture() *cobra.Command {
 	o := trial.Options{Progress: os.Stderr, Loads: []float64{0.5}, Fleets: trial.Fleets()[:1]}
 	e := trial.Events{Runs: 15, Requests: 100000}
