--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -25,6 +25,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"foxwood/capture"
+	"foxwood/capture/capturepb"
 	"foxwood/internal/config"
 	"foxwood/internal/xds"
 )
@@ -751,6 +753,12 @@
 	// without a ceiling, whose store a gatekeeper just born takes for empty
 	plain := strings.Replace(string(text), `"ceiling-rate": 35, `, "", 1)
 	configured(t, strings.Replace(plain, "deploy/calculadora.yaml", file, 1))
+	folder := t.TempDir()
+	t.Cleanup(func() { // once it has stopped: a description that is replaced is replayed too
+		if report, kinds := played(t, folder, capture.Key{}); !report.Ended || kinds[capturepb.Kind_CLASSES] != 1 {
+			t.Errorf("%+v, %v", report, kinds)
+		}
+	})
 	g := open(t, func(c *config.Config) {
 		if err := json.Unmarshal([]byte(plain), c); err != nil {
 			t.Fatal(err)
@@ -758,6 +766,7 @@
 		c.Known.Instances = c.Known.Instances[:1]
 		c.Known.Instances[0].Addr = addr
 		c.OpenAPI.Description = file
+		c.Capture = &config.Capture{Folder: folder}
 	})
 	ask := func(target, bank string, ms int) *http.Response {
 		t.Helper()
