--- a/internal/command/capture.go
+++ b/internal/command/capture.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -245,7 +246,7 @@
 
 func newReplay() *cobra.Command {
 	var keyFile, until, against, chart string
-	var request uint32
+	var request string
 	var quiet bool
 	c := &cobra.Command{
 		Use:   "replay PATH...",
@@ -268,7 +269,12 @@
 			if chart != "" {
 				return usageError{errors.New("--chart is of --against")}
 			}
-			o := replay.Options{Request: request, Stop: func() bool { bar.step(); return false }}
+			o := replay.Options{Stop: func() bool { bar.step(); return false }}
+			if n, err := strconv.ParseUint(request, 10, 32); err == nil && strconv.FormatUint(n, 10) == request {
+				o.Request = uint32(n) // names are longer, or begin with zeros
+			} else {
+				o.Name = request
+			}
 			if !quiet {
 				o.Log = c.OutOrStdout()
 			}
@@ -303,7 +309,7 @@
 	c.Flags().StringVar(&against, "against", "", "configuration whose settings are compared with the recorded ones, on the same inputs; \"recorded\" compares this build by the recorded ones")
 	c.Flags().StringVar(&chart, "chart", "", "SVG file to draw what --against finds into")
 	c.Flags().StringVar(&until, "until", "", "time to stop at, as 2026-12-01T13:00:00.5Z")
-	c.Flags().Uint32Var(&request, "request", 0, "only decisions on the request with this number")
+	c.Flags().StringVar(&request, "request", "", "only decisions on the request with this name (X-Trace-Id) or number")
 	c.Flags().BoolVarP(&quiet, "quiet", "q", false, "print no decisions")
 	return c
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -45,6 +45,7 @@
 		"no such trouble":  {[]string{"emulate", "counter", "--trouble", "10s:slow=3"}, usage, []string{"a duration"}},
 		"a kept capture":   {[]string{"capture", "verify", kept}, ok, []string{"records"}},
 		"one that was cut": {[]string{"capture", "verify", "../replay/testdata/kept/killed-within-a-block"}, failed, []string{"ends without its end block"}},
+		"one by its name":  {[]string{"replay", kept, "--request", "simulacion-10"}, ok, []string{"named request=", `"simulacion-10"`, "class=1", "  send request=", "lives"}},
 		"other settings":   {[]string{"replay", kept, "--against", "recorded", "--chart", chart}, ok, []string{"requests", "refused: recorded"}},
 		"a chart of none":  {[]string{"replay", kept, "--chart", chart}, usage, []string{"--against"}},
 		"two faults":       {[]string{"check", conf}, failed, []string{"faulty.yaml:13: GET /cuota", "faulty.yaml:22: POST /simulacion", "2 faults"}},
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -30,8 +30,10 @@
 	Begin func(s policy.Snapshot) (gatekeeper.Module, error)
 	// Log, where set, is given every call as a line.
 	Log io.Writer
-	// Request, where not 0, limits the log to calls that name it.
+	// Request, where not 0, limits the log to calls that name it. Name, where set, does so for
+	// the request that the front calls by it.
 	Request uint32
+	Name    string
 	// Until, where not 0, is the time to stop at.
 	Until policy.Micros
 	// Watch, where set, is called before each call of the module.
@@ -132,6 +134,9 @@
 			if p.o.Named != nil {
 				p.o.Named(r.GetId(), r.GetText())
 			}
+			if p.o.Name != "" && p.o.Name == r.GetText() {
+				p.o.Request = r.GetId()
+			}
 			p.log(r.GetId(), "named request=%d %q", r.GetId(), r.GetText())
 			continue
 		}
@@ -302,7 +307,8 @@
 
 // log writes a line of the decision log.
 func (p *player) log(id uint32, format string, a ...any) {
-	if p.o.Log == nil || p.o.Request != 0 && p.o.Request != id {
+	one := p.o.Request != 0 || p.o.Name != ""
+	if p.o.Log == nil || one && (id == 0 || p.o.Request != id) {
 		return
 	}
 	fmt.Fprintf(p.o.Log, "%d.%06d ", p.at/1e6, p.at%1e6)
