--- a/internal/trial/capture.go
+++ b/internal/trial/capture.go
@@ -17,6 +17,14 @@
 // captured, behind a transport's name, has its gatekeeper keep a capture.
 const captured = "captured"
 
+// bytesOf is how much some segments hold.
+func bytesOf(segments []capture.Segment) (n int64) {
+	for _, s := range segments {
+		n += s.Size
+	}
+	return n
+}
+
 // Captures measures a gatekeeper with and without a capture, interleaved, and then what
 // the capture takes to keep, to replay and to explain one request from.
 func Captures(ctx context.Context, o Options, to io.Writer) error {
@@ -38,10 +46,7 @@
 	if err != nil {
 		return err
 	}
-	size := int64(0)
-	for _, s := range segments {
-		size += s.Size
-	}
+	size := bytesOf(segments)
 	key := capture.Key{}
 	requests, last := 0, ""
 	began := time.Now()
--- a/internal/trial/events.go
+++ b/internal/trial/events.go
@@ -162,10 +162,6 @@
 	if err != nil {
 		return err
 	}
-	size := int64(0)
-	for _, s := range segments {
-		size += s.Size
-	}
 	key := capture.Key{}
 	random := rand.New(rand.NewPCG(o.Seed, 2))
 	var took []float64
@@ -200,7 +196,7 @@
 | explaining a request, s: median, longest of %d | %.2f, %.2f |
 | replayed: events a second, times real time | %.0f, %.0f |
 | differences | %d |
-`, float64(whole.Records())/1e6, float64(size)/1e6, len(segments), len(took), quantile(took, 0.5), slices.Max(took),
+`, float64(whole.Records())/1e6, float64(bytesOf(segments))/1e6, len(segments), len(took), quantile(took, 0.5), slices.Max(took),
 		float64(whole.Records())/span, float64(report.Last-report.First)/1e6/span, len(report.Differences))
 	return err
 }
