Read a capture's records in one loop, and say once what was said twice

Set.Each reads all records of a set and tells of cuts and gaps: verify, inspect, the measure of captures and two tests each had that loop. Number reads a request's number for explain and replay, whose two copies could have drifted. The head of a call's record is written in one place for all 13 kinds. A chart's curves say which requests they count, in place of a struct and a closure that had to agree. The progress bar is wiped once. Behaviour is as it was.

--- a/capture/encode.go
+++ b/capture/encode.go
@@ -91,6 +91,12 @@
 	e.last = e.now
 }
 
+// call starts the record of a call of the module.
+func (e *Encoder) call(now policy.Micros, kind capturepb.Kind) {
+	e.now = now
+	e.begin(kind)
+}
+
 // end puts the record into the block, and hands that on where it is full or old.
 func (e *Encoder) end() {
 	e.block.raw = protowire.AppendBytes(e.block.raw, e.record)
@@ -146,8 +152,7 @@
 
 // Began implements gatekeeper.Recorder.
 func (e *Encoder) Began(now policy.Micros, s policy.Settings, seed uint64) {
-	e.now = now
-	e.begin(capturepb.Kind_BEGAN)
+	e.call(now, capturepb.Kind_BEGAN)
 	e.json(s)
 	e.uint(fSeed, seed)
 	e.uint(fAt, uint64(now))
@@ -156,8 +161,7 @@
 
 // Requested implements gatekeeper.Recorder.
 func (e *Encoder) Requested(now policy.Micros, r policy.Request) {
-	e.now = now
-	e.begin(capturepb.Kind_REQUESTED)
+	e.call(now, capturepb.Kind_REQUESTED)
 	e.uint(fID, uint64(r.ID))
 	e.uint(fClass, uint64(int64(r.Class)))
 	e.uint(fPlan, uint64(int64(r.Plan)))
@@ -189,16 +193,14 @@
 
 // Gone implements gatekeeper.Recorder.
 func (e *Encoder) Gone(now policy.Micros, id uint32) {
-	e.now = now
-	e.begin(capturepb.Kind_GONE)
+	e.call(now, capturepb.Kind_GONE)
 	e.uint(fID, uint64(id))
 	e.end()
 }
 
 // Ended implements gatekeeper.Recorder.
 func (e *Encoder) Ended(now policy.Micros, o policy.Outcome) {
-	e.now = now
-	e.begin(capturepb.Kind_ENDED)
+	e.call(now, capturepb.Kind_ENDED)
 	e.uint(fID, uint64(o.ID))
 	e.fixed(fServer, uint64(o.Server))
 	e.uint(fAttempt, uint64(int64(o.Attempt)))
@@ -219,8 +221,7 @@
 
 // Counted implements gatekeeper.Recorder.
 func (e *Encoder) Counted(now policy.Micros, name uint64, delay policy.Micros, st policy.Status, total float64) {
-	e.now = now
-	e.begin(capturepb.Kind_COUNTED)
+	e.call(now, capturepb.Kind_COUNTED)
 	e.uint(fStatus, uint64(st))
 	e.int(fSpan, delay)
 	e.fixed(fName, e.hide(name, ofNames))
@@ -230,8 +231,7 @@
 
 // Listed implements gatekeeper.Recorder.
 func (e *Encoder) Listed(now policy.Micros, kind policy.ListKind, entries []policy.Entry) {
-	e.now = now
-	e.begin(capturepb.Kind_LISTED)
+	e.call(now, capturepb.Kind_LISTED)
 	e.uint(fList, uint64(kind))
 	record := e.record
 	for _, w := range entries {
@@ -251,40 +251,35 @@
 
 // Classes implements gatekeeper.Recorder.
 func (e *Encoder) Classes(now policy.Micros, classes []policy.Class) {
-	e.now = now
-	e.begin(capturepb.Kind_CLASSES)
+	e.call(now, capturepb.Kind_CLASSES)
 	e.json(policy.Settings{Classes: classes})
 	e.end()
 }
 
 // Filled implements gatekeeper.Recorder.
 func (e *Encoder) Filled(now policy.Micros, id uint32) {
-	e.now = now
-	e.begin(capturepb.Kind_FILLED)
+	e.call(now, capturepb.Kind_FILLED)
 	e.uint(fID, uint64(id))
 	e.end()
 }
 
 // Progressed implements gatekeeper.Recorder.
 func (e *Encoder) Progressed(now policy.Micros, at policy.Server) {
-	e.now = now
-	e.begin(capturepb.Kind_PROGRESSED)
+	e.call(now, capturepb.Kind_PROGRESSED)
 	e.fixed(fServer, uint64(at))
 	e.end()
 }
 
 // Joined implements gatekeeper.Recorder.
 func (e *Encoder) Joined(now, born policy.Micros) {
-	e.now = now
-	e.begin(capturepb.Kind_JOINED)
+	e.call(now, capturepb.Kind_JOINED)
 	e.uint(fAt, uint64(born))
 	e.end()
 }
 
 // Beside implements gatekeeper.Recorder.
 func (e *Encoder) Beside(now policy.Micros, d policy.Draw) {
-	e.now = now
-	e.begin(capturepb.Kind_BESIDE)
+	e.call(now, capturepb.Kind_BESIDE)
 	e.uint(fPlan, uint64(int64(d.Plan)))
 	e.fixed(fCustomer, e.hide(d.Customer, ofCustomers))
 	e.float(fUnits, d.Units)
@@ -296,16 +291,14 @@
 
 // Rang implements gatekeeper.Recorder.
 func (e *Encoder) Rang(now policy.Micros, token uint64) {
-	e.now = now
-	e.begin(capturepb.Kind_RANG)
+	e.call(now, capturepb.Kind_RANG)
 	e.uint(fToken, token)
 	e.end()
 }
 
 // Recovered implements gatekeeper.Recorder.
 func (e *Encoder) Recovered(now policy.Micros, s policy.Snapshot, exact bool) {
-	e.now = now
-	e.begin(capturepb.Kind_RECOVERED)
+	e.call(now, capturepb.Kind_RECOVERED)
 	e.json(e.key.hideState(s))
 	e.bool(fAgain, exact)
 	e.end()
--- a/capture/set.go
+++ b/capture/set.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// Each calls record with every record, and fault with every *Cut and *Gap, up to the end or
+// to an error that nothing can be read behind.
+func (s *Set) Each(record func(*capturepb.Record), fault func(error)) error {
+	for {
+		r, _, err := s.Next()
+		var gap *Gap
+		var cut *Cut
+		switch {
+		case err == nil:
+			record(r)
+		case errors.Is(err, io.EOF):
+			return nil
+		case errors.As(err, &gap), errors.As(err, &cut):
+			fault(err)
+		default:
+			return err
+		}
+	}
+}
+
 // open begins the next segment. It must follow the one before where they are of one life.
 func (s *Set) open() error {
 	seg := s.segments[s.at]
--- a/internal/command/capture.go
+++ b/internal/command/capture.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -62,26 +61,21 @@
 			}
 			defer set.Close()
 			found := 0
-			for {
-				_, _, err := set.Next()
+			err = set.Each(func(*capturepb.Record) {}, func(err error) {
 				var gap *capture.Gap
-				var cut *capture.Cut
-				switch {
-				case err == nil:
-					continue
-				case errors.Is(err, io.EOF):
-					if fmt.Fprintf(c.OutOrStdout(), "%d records\n", set.Records()); found > 0 {
-						return fmt.Errorf("%d faults", found)
-					}
-					return nil
-				case errors.As(err, &gap):
+				if errors.As(err, &gap) {
 					err = fmt.Errorf("%s: %w", set.Current().File, err)
-				case !errors.As(err, &cut):
-					return err
 				}
 				found++
 				fmt.Fprintln(c.ErrOrStderr(), err)
+			})
+			if err != nil {
+				return err
+			}
+			if fmt.Fprintf(c.OutOrStdout(), "%d records\n", set.Records()); found > 0 {
+				return fmt.Errorf("%d faults", found)
 			}
+			return nil
 		},
 	}
 	keyFlag(verify, &keyFile)
@@ -101,28 +95,18 @@
 				fmt.Fprintf(w, "%s\t%016x\t%d\t%d\t%s\n", s.File, s.Life, s.N, s.Size, clock(s.First))
 			}
 			counts := map[capturepb.Kind]int{}
-			for {
-				r, _, err := set.Next()
-				var gap *capture.Gap
-				var cut *capture.Cut
-				switch {
-				case errors.Is(err, io.EOF):
-					fmt.Fprintln(w, "\nkind\trecords")
-					for _, kind := range kinds() {
-						if n := counts[kind]; n > 0 {
-							fmt.Fprintf(w, "%s\t%d\n", kind, n)
-						}
-					}
-					return w.Flush()
-				case errors.As(err, &gap), errors.As(err, &cut):
-					fmt.Fprintln(w, err)
-				case err != nil:
-					_ = w.Flush()
-					return err
-				default:
-					counts[r.GetKind()]++
+			err = set.Each(func(r *capturepb.Record) { counts[r.GetKind()]++ }, func(err error) { fmt.Fprintln(w, err) })
+			if err != nil {
+				_ = w.Flush()
+				return err
+			}
+			fmt.Fprintln(w, "\nkind\trecords")
+			for _, kind := range kinds() {
+				if n := counts[kind]; n > 0 {
+					fmt.Fprintf(w, "%s\t%d\n", kind, n)
 				}
 			}
+			return w.Flush()
 		},
 	}
 	keyFlag(inspect, &keyFile)
@@ -245,8 +229,7 @@
 }
 
 func newReplay() *cobra.Command {
-	var keyFile, until, against, chart string
-	var request string
+	var keyFile, until, against, chart, request string
 	var quiet bool
 	c := &cobra.Command{
 		Use:   "replay PATH...",
@@ -262,7 +245,6 @@
 			}
 			defer set.Close()
 			bar := newProgress(c.ErrOrStderr(), against == "" && !quiet, set.Read)
-			defer bar.end()
 			if against != "" {
 				return compare(c.OutOrStdout(), set, key, against, chart, bar)
 			}
@@ -270,9 +252,7 @@
 				return usageError{errors.New("--chart is of --against")}
 			}
 			o := replay.Options{Stop: func() bool { bar.step(); return false }}
-			if n, err := strconv.ParseUint(request, 10, 32); err == nil && strconv.FormatUint(n, 10) == request {
-				o.Request = uint32(n) // names are longer, or begin with zeros
-			} else {
+			if o.Request = replay.Number(request); o.Request == 0 {
 				o.Name = request
 			}
 			if !quiet {
@@ -286,10 +266,10 @@
 				o.Until = at.UnixMicro()
 			}
 			report, err := replay.Run(set, key, o)
+			bar.end()
 			if err != nil {
 				return err
 			}
-			bar.end()
 			e := c.ErrOrStderr()
 			for _, n := range report.Notes {
 				fmt.Fprintln(e, "note:", n)
@@ -339,10 +319,10 @@
 		}
 		return policy.New(other, seed)
 	}, bar.step)
+	bar.end()
 	if err != nil {
 		return err
 	}
-	bar.end()
 	if chart != "" {
 		f, err := os.Create(chart)
 		if err != nil {
--- a/internal/replay/against.go
+++ b/internal/replay/against.go
@@ -32,14 +32,14 @@
 type Against struct {
 	First  *Difference
 	Counts map[kindOf]*[4][4]int // recorded fate, other fate
-	Times  map[int64]*[4][4]int  // the same, by the second in which requests came
+	Times  map[int64][4][4]int   // the same, by the second in which requests came
 	order  []kindOf
 }
 
 // Compare plays a capture to modules that other makes, and counts what becomes of requests.
 // Where shown is not nil it is called with each record.
 func Compare(from Source, key *capture.Key, other func(s policy.Settings, seed uint64) gatekeeper.Module, shown func()) (*Against, error) {
-	a := &Against{Counts: map[kindOf]*[4][4]int{}, Times: map[int64]*[4][4]int{}}
+	a := &Against{Counts: map[kindOf]*[4][4]int{}, Times: map[int64][4][4]int{}}
 	type one struct {
 		kind    kindOf
 		second  int64
@@ -54,11 +54,9 @@
 			a.order = append(a.order, o.kind)
 		}
 		c[o.was][o.is]++
-		if c = a.Times[o.second]; c == nil {
-			c = &[4][4]int{}
-			a.Times[o.second] = c
-		}
-		c[o.was][o.is]++
+		then := a.Times[o.second]
+		then[o.was][o.is]++
+		a.Times[o.second] = then
 	}
 	note := func(to *fate, kind capturepb.Kind) {
 		if *to == undecided {
--- a/internal/replay/chart.go
+++ b/internal/replay/chart.go
@@ -20,8 +20,23 @@
 	chartTicks           = 5
 )
 
-// step is a stretch of time in a comparison: requests a second.
-type step struct{ sentWas, sentIs, refusedWas, refusedIs, differ float64 }
+// curve is one line of the chart, and which requests it counts. The dash keeps it told from
+// the others on paper.
+type curve struct {
+	name, colour, dash string
+	counts             func(was, is fate) bool
+}
+
+var curves = [...]curve{
+	{"sent, recorded", "#1b6ca8", "", func(was, _ fate) bool { return was == sent }},
+	{"sent, other", "#1b6ca8", "6 4", func(_, is fate) bool { return is == sent }},
+	{"refused, recorded", "#c0392b", "", func(was, _ fate) bool { return was == refused }},
+	{"refused, other", "#c0392b", "6 4", func(_, is fate) bool { return is == refused }},
+	{"decided otherwise", "#555555", "2 3", func(was, is fate) bool { return was != is }},
+}
+
+// step is a stretch of time in a comparison: requests a second, by curve.
+type step [len(curves)]float64
 
 // steps brings the comparison's seconds together to few enough points.
 func (a *Against) steps() (first, each int64, all []step) {
@@ -37,46 +52,24 @@
 		s := &all[(at-first)/each]
 		for was, row := range a.Times[at] {
 			for is, n := range row {
-				part := float64(n) / float64(each)
-				add := func(to *float64, yes bool) {
-					if yes {
-						*to += part
+				for i, c := range curves {
+					if c.counts(fate(was), fate(is)) {
+						s[i] += float64(n) / float64(each)
 					}
 				}
-				add(&s.sentWas, fate(was) == sent)
-				add(&s.sentIs, fate(is) == sent)
-				add(&s.refusedWas, fate(was) == refused)
-				add(&s.refusedIs, fate(is) == refused)
-				add(&s.differ, was != is)
 			}
 		}
 	}
 	return first, each, all
 }
 
-// curve is one line of the chart. The dash keeps it told from the others on paper.
-type curve struct {
-	name, colour, dash string
-	of                 func(s *step) float64
-}
-
-var curves = [...]curve{
-	{"sent, recorded", "#1b6ca8", "", func(s *step) float64 { return s.sentWas }},
-	{"sent, other", "#1b6ca8", "6 4", func(s *step) float64 { return s.sentIs }},
-	{"refused, recorded", "#c0392b", "", func(s *step) float64 { return s.refusedWas }},
-	{"refused, other", "#c0392b", "6 4", func(s *step) float64 { return s.refusedIs }},
-	{"decided otherwise", "#555555", "2 3", func(s *step) float64 { return s.differ }},
-}
-
 // Chart writes the comparison as an SVG image that needs nothing else: requests a second by
 // the time that they came, and where the first decision differs.
 func (a *Against) Chart(to io.Writer) error {
 	first, each, all := a.steps()
 	top := 1.0
-	for i := range all {
-		for _, c := range curves {
-			top = max(top, c.of(&all[i]))
-		}
+	for _, s := range all {
+		top = max(top, slices.Max(s[:]))
 	}
 	top = round(top)
 	x := func(i float64) float64 { return plotLeft + plotWide*i/max(float64(len(all)), 1) }
@@ -108,10 +101,10 @@
 		fmt.Fprintf(&b, `<line x1="%.1f" y1="%d" x2="%.1f" y2="%d" stroke="black"/><text x="%.1f" y="%d">first difference</text>
 `, at, plotTop, at, plotTop+plotHigh, min(at+5, plotLeft+plotWide-100), plotTop+12)
 	}
-	for _, c := range curves {
+	for k, c := range curves {
 		fmt.Fprintf(&b, `<polyline fill="none" stroke="%s" stroke-width="2" stroke-dasharray="%s" points="`, c.colour, cmp.Or(c.dash, "none"))
-		for i := range all {
-			fmt.Fprintf(&b, "%.1f,%.1f ", x(float64(i)+0.5), y(c.of(&all[i])))
+		for i, s := range all {
+			fmt.Fprintf(&b, "%.1f,%.1f ", x(float64(i)+0.5), y(s[k]))
 		}
 		b.WriteString("\"/>\n")
 	}
--- a/internal/replay/chart_test.go
+++ b/internal/replay/chart_test.go
@@ -44,7 +44,7 @@
 	_, each, all := a.steps()
 	var sum, want float64
 	for _, s := range all {
-		sum += s.differ * float64(each)
+		sum += s[len(curves)-1] * float64(each)
 	}
 	for _, c := range a.Counts {
 		for was, row := range c {
@@ -61,12 +61,12 @@
 }
 
 func TestLongComparisonsKeepToAFewPoints(t *testing.T) {
-	a := &Against{Times: map[int64]*[4][4]int{}}
+	a := &Against{Times: map[int64][4][4]int{}}
 	for at := range int64(7200) {
-		a.Times[1000+at] = &[4][4]int{sent: {sent: 3}}
+		a.Times[1000+at] = [4][4]int{sent: {sent: 3}}
 	}
 	first, each, all := a.steps()
-	if first != 1000 || each != 60 || len(all) != chartSteps || math.Abs(all[7].sentWas-3) > 1e-9 || all[7].differ != 0 {
+	if first != 1000 || each != 60 || len(all) != chartSteps || math.Abs(all[7][0]-3) > 1e-9 || all[7][len(curves)-1] != 0 {
 		t.Errorf("%d points of %d s from %d, %+v", len(all), each, first, all[7])
 	}
 }
--- a/internal/replay/explain.go
+++ b/internal/replay/explain.go
@@ -40,10 +40,7 @@
 // that the module had before each call that decided on it. id is the name that the front
 // has for the request (on the platform its X-Trace-Id) or its number in the decision log.
 func Explain(to io.Writer, from Source, key *capture.Key, id string) error {
-	e := &explainer{to: to, dec: capture.NewDecoder(key), name: id}
-	if n, err := strconv.ParseUint(id, 10, 32); err == nil && strconv.FormatUint(n, 10) == id { // names are longer, or begin with zeros
-		e.number = uint32(n)
-	}
+	e := &explainer{to: to, dec: capture.NewDecoder(key), name: id, number: Number(id)}
 	report, err := Run(from, key, Options{Named: e.named, Watch: e.watch, Decided: e.decided, Stop: func() bool { return e.over }})
 	if err != nil {
 		return err
@@ -60,6 +57,16 @@
 	return nil
 }
 
+// Number is a request's number in the decision log, where a text is one, and else 0: names
+// are longer, or begin with zeros.
+func Number(text string) uint32 {
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || strconv.FormatUint(n, 10) != text {
+		return 0
+	}
+	return uint32(n)
+}
+
 // named is told the name that the front has for a request.
 func (e *explainer) named(id uint32, name string) {
 	if name == e.name && !e.found {
--- a/internal/replay/kept_test.go
+++ b/internal/replay/kept_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"path/filepath"
 	"testing"
 
@@ -33,21 +32,16 @@
 			}
 			key := capture.Key{}
 			kinds := map[capturepb.Kind]int{}
-			for set := capture.NewSet(segments, &key); ; {
-				r, _, err := set.Next()
-				var cut *capture.Cut
-				switch {
-				case errors.Is(err, io.EOF):
-				case errors.As(err, &cut):
-					continue
-				case err != nil:
+			set := capture.NewSet(segments, &key)
+			err = set.Each(func(r *capturepb.Record) { kinds[r.GetKind()]++ }, func(err error) {
+				var gap *capture.Gap
+				if errors.As(err, &gap) {
 					t.Fatal(err)
-				default:
-					kinds[r.GetKind()]++
-					continue
 				}
-				set.Close()
-				break
+			})
+			set.Close()
+			if err != nil {
+				t.Fatal(err)
 			}
 			for _, k := range want.kinds {
 				if kinds[k] == 0 {
--- a/internal/service/captured_test.go
+++ b/internal/service/captured_test.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -100,19 +99,16 @@
 		t.Fatalf("differs: %+v", report.Differences[0])
 	}
 	kinds := map[capturepb.Kind]int{}
-	for set := open(); ; {
-		r, _, err := set.Next()
-		var cut *capture.Cut
-		switch {
-		case errors.Is(err, io.EOF):
-			return report, kinds
-		case errors.As(err, &cut):
-		case err != nil:
+	err = open().Each(func(r *capturepb.Record) { kinds[r.GetKind()]++ }, func(err error) {
+		var gap *capture.Gap
+		if errors.As(err, &gap) {
 			t.Fatal(err)
-		default:
-			kinds[r.GetKind()]++
 		}
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
+	return report, kinds
 }
 
 // TestAProcessKilledWithinABlockLeavesBothLives: the killed life is played up to what was
--- a/internal/trial/capture.go
+++ b/internal/trial/capture.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -52,26 +51,16 @@
 	began := time.Now()
 	set := capture.NewSet(segments, &key)
 	defer set.Close()
-	for {
-		r, _, err := set.Next()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		var cut *capture.Cut
-		var gap *capture.Gap
-		switch {
-		case errors.As(err, &cut), errors.As(err, &gap):
-			fmt.Fprintf(to, "\n%v\n", err)
-			continue
-		case err != nil:
-			return err
-		}
+	err = set.Each(func(r *capturepb.Record) {
 		switch r.GetKind() {
 		case capturepb.Kind_REQUESTED:
 			requests++
 		case capturepb.Kind_NAMED:
 			last = r.GetText()
 		}
+	}, func(err error) { fmt.Fprintf(to, "\n%v\n", err) })
+	if err != nil {
+		return err
 	}
 	read := time.Since(began)
 	records := set.Records()
