--- a/internal/trial/counters.go
+++ b/internal/trial/counters.go
@@ -40,11 +40,12 @@
 )
 
 func tallySettings(gates int, counter bool) policy.Settings {
-	return policy.Settings{Gateways: gates, Tick: 4000, MaxAttempts: 2, Cancel: true, RetryAfter: true, Largest: 3,
-		Counter: counter, CounterTimeout: 50e3,
-		Classes: []policy.Class{{Aim: 400e3, Deadline: 2e6, Worth: 1}},
-		Plans: []policy.Plan{{Rate: 4, Burst: 12, Price: 1, OverCost: 1},
-			{Rate: 19, Burst: 28, Price: 2, OverCost: 1, CeilingRate: 35, CeilingBurst: 53, CeilingSlack: 6}}}
+	s := simSettings()
+	s.Gateways, s.Counter, s.CounterTimeout = gates, counter, 50e3
+	mayor := s.Plans[0]
+	mayor.Price = 2
+	s.Plans = []policy.Plan{{Rate: 4, Burst: 12, Price: 1, OverCost: 1}, mayor}
+	return s
 }
 
 // bank is a customer and what it asks for.
@@ -103,6 +104,7 @@
 
 // tallyGate is a gatekeeper's life.
 type tallyGate struct {
+	quiet
 	*gatekeeper.Gatekeeper
 	w    *tally
 	n    int
@@ -161,7 +163,7 @@
 				}
 			})
 		}})
-	g.Workers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}, {Server: 3, State: policy.Ready}})
+	g.Workers(policy.FullList, simWorkers())
 }
 
 // Execute sends a request on: from then on its units are spent.
@@ -185,10 +187,6 @@
 	*worst = max(*worst, -l.now)
 }
 
-func (g *tallyGate) Abandon(*gatekeeper.Execution) bool            { return true }
-func (g *tallyGate) Release(policy.Server)                         {}
-func (g *tallyGate) Served(*gatekeeper.Request, gatekeeper.Answer) {}
-func (g *tallyGate) Failed(*gatekeeper.Request)                    {}
 func (g *tallyGate) Throttled(r *gatekeeper.Request, _ float64) {
 	b := g.w.banks[r.Customer]
 	if b.quota.flow(g.w.clock.Now()); b.quota.now >= r.Units {
--- a/internal/trial/events.go
+++ b/internal/trial/events.go
@@ -36,7 +36,9 @@
 
 // busy is a core before workers that answer everything after the same time.
 type busy struct {
-	world
+	quiet
+	core   *gatekeeper.Gatekeeper
+	clock  *gatekeeper.Clock
 	turns  *hdrhistogram.Histogram // nanoseconds of a call of the core
 	answer []leg                   // in the order of their answers
 }
@@ -44,7 +46,6 @@
 func (b *busy) Execute(x *gatekeeper.Execution) {
 	b.answer = append(b.answer, leg{x, b.clock.Now() + busyTakes})
 }
-func (b *busy) Throttled(*gatekeeper.Request, float64) {}
 
 func (b *busy) turn(call func()) {
 	began := time.Now()
@@ -55,7 +56,8 @@
 // play takes n requests and returns the CPU that the process has spent on them.
 func (b *busy) play(rec gatekeeper.Recorder, n int, seed uint64) (time.Duration, error) {
 	b.turns = hdrhistogram.New(1, int64(time.Second), 3)
-	b.clock, b.random = gatekeeper.NewClock(), rand.New(rand.NewPCG(seed, 1))
+	b.clock = gatekeeper.NewClock()
+	random := rand.New(rand.NewPCG(seed, 1))
 	b.clock.Set(simStart)
 	set := simSettings()
 	set.Plans[0].Rate, set.Plans[0].Burst, set.Plans[0].CeilingRate = busyRate, busyRate, 0
@@ -65,9 +67,9 @@
 	}
 	b.core = gatekeeper.New(gatekeeper.Config{Settings: set, Seed: seed, Clock: b.clock, Fleet: b, Counter: b,
 		Wake: func(float64) {}, Recorder: rec})
-	b.core.Workers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}, {Server: 3, State: policy.Ready}})
+	b.core.Workers(policy.FullList, simWorkers())
 	for at, i := simStart, 0; i < n; i++ {
-		at += 1000 / busyRate * b.random.ExpFloat64()
+		at += 1000 / busyRate * random.ExpFloat64()
 		for len(b.answer) > 0 && b.answer[0].at <= at {
 			x := b.answer[0]
 			b.answer = b.answer[1:]
@@ -75,7 +77,7 @@
 			b.turn(func() { b.core.Advance(); b.core.Done(x.x, gatekeeper.Outcome{Status: policy.OK}) })
 		}
 		b.clock.Set(at)
-		q := &gatekeeper.Request{Name: eventName(i), Customer: b.random.Uint64N(busyCustomers), Left: 2000, Units: 1, Spread: 1, Caller: b}
+		q := &gatekeeper.Request{Name: eventName(i), Customer: random.Uint64N(busyCustomers), Left: 2000, Units: 1, Spread: 1, Caller: b}
 		b.turn(func() { b.core.Advance(); b.core.Take(q) })
 	}
 	after, err := cpu()
--- a/internal/trial/restart.go
+++ b/internal/trial/restart.go
@@ -47,6 +47,21 @@
 		Plans:   []policy.Plan{{Rate: 19, Burst: 28, Price: 1, OverCost: 1, CeilingRate: 35, CeilingBurst: 53, CeilingSlack: 6}}}
 }
 
+// simWorkers are three that take work.
+func simWorkers() []policy.Entry {
+	return []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}, {Server: 3, State: policy.Ready}}
+}
+
+// quiet is a fleet, a counter and a caller to whom nothing said matters.
+type quiet struct{}
+
+func (quiet) Abandon(*gatekeeper.Execution) bool            { return true }
+func (quiet) Release(policy.Server)                         {}
+func (quiet) Add(*gatekeeper.Count)                         {}
+func (quiet) Served(*gatekeeper.Request, gatekeeper.Answer) {}
+func (quiet) Failed(*gatekeeper.Request)                    {}
+func (quiet) Throttled(*gatekeeper.Request, float64)        {}
+
 // asking is the units a second that each customer asks for, against a quota of 19.
 var asking = [...]float64{7.1 * 19, 15, 15, 10, 5}
 
@@ -70,6 +85,7 @@
 
 // world is the simulated surroundings of both lives.
 type world struct {
+	quiet
 	core     *gatekeeper.Gatekeeper
 	clock    *gatekeeper.Clock
 	random   *rand.Rand
@@ -99,11 +115,6 @@
 	w.out = append(w.out, leg{x, w.clock.Now() + 20 + 20*w.random.ExpFloat64()})
 }
 
-func (w *world) Abandon(*gatekeeper.Execution) bool            { return true }
-func (w *world) Release(policy.Server)                         {}
-func (w *world) Add(*gatekeeper.Count)                         {}
-func (w *world) Served(*gatekeeper.Request, gatekeeper.Answer) {}
-func (w *world) Failed(*gatekeeper.Request)                    {}
 func (w *world) Throttled(r *gatekeeper.Request, _ float64) {
 	if w.quotas[r.Customer].take(w.clock.Now(), r.Units) && w.counts {
 		w.f.wrong += r.Units
@@ -115,7 +126,7 @@
 	w.out = nil
 	w.core = gatekeeper.New(gatekeeper.Config{Settings: simSettings(), Seed: seed, Clock: w.clock, Fleet: w, Counter: w,
 		Wake: func(float64) {}, Recorder: rec, Earlier: before})
-	w.core.Workers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}, {Server: 3, State: policy.Ready}})
+	w.core.Workers(policy.FullList, simWorkers())
 }
 
 // run lets so many milliseconds go by.
