Replace members of the core by agreement: a newcomer takes the longest silent's seat

A machine that was gone counted for the core's majority until an operator said forget, so each replacement made the core larger by one ghost. Now the view that takes a newcomer in takes out a member that is leaving or that nobody has heard for 2 s; an even core does without one silent for 4 s; a process that gets SIGTERM leaves the chain first and goes when the view without it has opened. A core that can't have a majority back says so, and cairn rebuild begins one from a named copy. bothies' and gatekeepers' lists follow the core.

--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -78,10 +78,12 @@
 	parsed    *timetable.Timetable
 	view      cairn.View
 	asked     float64 // when the tail was last asked with success
+	blind     bool    // it was not, for long
 	core      []string
 	cores     []waymark.Core // all bothies known, and their mark
 	coresMark uint64
 	kept      []string // the electorate on the disk
+	keptEpoch uint64
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -119,14 +121,14 @@
 		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64()}
 	self := set.Inner(bothyDock)
 	b.book = guestbook.New(self, rand.Uint64(), b.now(), lapse)
-	kept, first := recall(set.ArchiveDir)
+	kept, epoch, first := recall(set.ArchiveDir)
 	if first = first && set.FirstRun; first && set.ArchiveDir != "" {
 		// It must be there before the first voice is given: the next life may have to wait that out.
-		first = keep(set.ArchiveDir, nil) == nil
+		first = keep(set.ArchiveDir, nil, 0) == nil
 	}
-	b.kept = kept
+	b.kept, b.keptEpoch = kept, epoch
 	b.warden = warden.New(self, rand.Uint64(), b.now(), dutyLease, first, append([]string{dutyRoster, dutySlices}, duties...)...)
-	b.warden.Remember(kept)
+	b.warden.Remember(kept, epoch)
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.patience = callMost
@@ -165,7 +167,10 @@
 	}
 	slices.Sort(core)
 	core = slices.Compact(core)
-	known := append(slices.Clone(core), b.seeds...)
+	known := slices.Clone(core)
+	if b.view.No == 0 || b.blind { // the core may be, or have moved on to, what the seeds name
+		known = append(known, b.seeds...)
+	}
 	for _, addr := range known {
 		if addr != self && b.peers[addr] == nil {
 			b.peers[addr] = traverse.NewPeer(addr)
@@ -273,6 +278,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Confirms++
+	if blind := err != nil && b.now()-b.asked > staleAfter; blind != b.blind {
+		b.blind = blind
+		b.electorate()
+	}
 	if err != nil {
 		b.counts.ConfirmsFailed++
 		return
@@ -296,7 +305,7 @@
 		b.asked = max(b.asked, asked)
 	}
 	if (got.View == nil && view == b.view.No || got.View != nil && got.View.No == b.view.No) && len(b.core) > 0 {
-		b.warden.Electorate(b.now(), asked, b.core, b.view.No, b.view.Forgot)
+		b.warden.Electorate(b.now(), asked, b.core, b.view.Epoch, b.view.Removed)
 	}
 }
 
--- a/internal/bothy/cost_test.go
+++ b/internal/bothy/cost_test.go
@@ -79,7 +79,7 @@
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return c.now }
 		b.book = guestbook.New(set.Inner(bothyDock), uint64(i+1), 0, lapse)
-		b.warden.Remember(nil)
+		b.warden.Remember(nil, 0)
 		c.bothies = append(c.bothies, b)
 	}
 	for _, b := range c.bothies {
--- a/internal/bothy/keep.go
+++ b/internal/bothy/keep.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 )
 
@@ -14,30 +15,32 @@
 
 // keepHead opens the file, and keepEnd ends it: one that is torn or odd tells nothing.
 const (
-	keepHead = "electorate 1"
+	keepHead = "electorate 2 epoch "
 	keepEnd  = "end"
 )
 
 // recall reads the electorate that an earlier life kept; none where the file is odd. The flag tells
 // that there was no file, so that no earlier life had this disk.
-func recall(dir string) (ids []string, none bool) {
+func recall(dir string) (ids []string, epoch uint64, none bool) {
 	if dir == "" {
-		return nil, true
+		return nil, 0, true
 	}
 	raw, err := os.ReadFile(filepath.Join(dir, keepName))
 	if err != nil {
-		return nil, errors.Is(err, fs.ErrNotExist)
+		return nil, 0, errors.Is(err, fs.ErrNotExist)
 	}
 	lines := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
 	n := len(lines)
-	if n < 3 || lines[0] != keepHead || lines[n-1] != keepEnd {
-		return nil, false
+	no, ok := strings.CutPrefix(lines[0], keepHead)
+	epoch, err = strconv.ParseUint(no, 10, 64)
+	if n < 3 || !ok || err != nil || lines[n-1] != keepEnd {
+		return nil, 0, false
 	}
-	return lines[1 : n-1], false
+	return lines[1 : n-1], epoch, false
 }
 
 // keep puts the electorate on the disk, whole or not at all, so that it outlasts a loss of power.
-func keep(dir string, ids []string) error {
+func keep(dir string, ids []string, epoch uint64) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
@@ -46,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	lines := append(append([]string{keepHead}, ids...), keepEnd, "")
+	lines := append(append([]string{keepHead + strconv.FormatUint(epoch, 10)}, ids...), keepEnd, "")
 	_, err = f.WriteString(strings.Join(lines, "\n"))
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return err
--- a/internal/bothy/keep_test.go
+++ b/internal/bothy/keep_test.go
@@ -17,27 +17,32 @@
 	for _, c := range []struct {
 		name, raw string
 		ids       []string
+		epoch     uint64
 	}{
-		{"whole", "electorate 1\na:1\nb:1\nend\n", []string{"a:1", "b:1"}},
-		{"kept before the first voice", "electorate 1\nend\n", nil},
-		{"empty", "", nil},
-		{"torn", "electorate 1\na:1\n", nil},
-		{"another kind", "electorate 2\na:1\nend\n", nil},
+		{"whole", "electorate 2 epoch 4\na:1\nb:1\nend\n", []string{"a:1", "b:1"}, 4},
+		{"kept before the first voice", "electorate 2 epoch 0\nend\n", nil, 0},
+		{"empty", "", nil, 0},
+		{"of a format without a number", "electorate 1\na:1\nend\n", nil, 0},
+		{"an odd number", "electorate 2 epoch -4\na:1\nend\n", nil, 0},
+		{"torn", "electorate 2 epoch 4\na:1\n", nil, 0},
+		{"another kind", "electorate 3 epoch 4\na:1\nend\n", nil, 0},
 	} {
 		dir := t.TempDir()
 		assert.NilError(t, os.WriteFile(filepath.Join(dir, keepName), []byte(c.raw), 0o600))
-		ids, none := recall(dir)
+		ids, epoch, none := recall(dir)
 		assert.DeepEqual(t, ids, c.ids)
+		assert.Equal(t, epoch, c.epoch, c.name)
 		assert.Assert(t, !none, c.name)
 	}
 	dir := filepath.Join(t.TempDir(), "new")
-	_, none := recall(dir)
+	_, _, none := recall(dir)
 	assert.Assert(t, none)
-	assert.NilError(t, keep(dir, []string{"a:1", "b:1"}))
-	ids, none := recall(dir)
+	assert.NilError(t, keep(dir, []string{"a:1", "b:1"}, 7))
+	ids, epoch, none := recall(dir)
 	assert.DeepEqual(t, ids, []string{"a:1", "b:1"})
+	assert.Equal(t, epoch, uint64(7))
 	assert.Assert(t, !none)
-	_, none = recall("")
+	_, _, none = recall("")
 	assert.Assert(t, none)
 }
 
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -182,17 +182,17 @@
 	}
 	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Tick})
 	b.duties(out)
-	settled := b.warden.Settled(b.now())
-	again := settled != nil && !slices.Equal(settled, b.kept)
+	settled, epoch := b.warden.Settled(b.now())
+	again := settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept))
 	b.mu.Unlock()
 	b.send(out)
 	if again && b.set.ArchiveDir != "" {
-		if err := keep(b.set.ArchiveDir, settled); err != nil {
+		if err := keep(b.set.ArchiveDir, settled, epoch); err != nil {
 			b.log.Error().Err(err).Msg("the electorate can't be kept")
 			return
 		}
 		b.mu.Lock()
-		b.kept = settled
+		b.kept, b.keptEpoch = settled, epoch
 		b.mu.Unlock()
 	}
 }
--- a/internal/cairn/forget_test.go
+++ b/internal/cairn/forget_test.go
@@ -26,7 +26,7 @@
 		if orders {
 			assert.DeepEqual(t, w.drops, [3]int{OK: 2})
 			assert.Equal(t, len(v.Core), 3)
-			assert.Equal(t, v.Forgot, uint64(2))
+			assert.Equal(t, v.Removed, uint64(2))
 		} else {
 			assert.Equal(t, len(v.Core), 5)
 		}
--- a/internal/cairn/machine.go
+++ b/internal/cairn/machine.go
@@ -53,6 +53,8 @@
 
 	peers    map[Ident]*peer
 	nextBeat float64
+	leaving  bool
+	alone    float64 // since when no majority of the core has been heard; 0 if one is
 
 	ballots
 	leases
@@ -79,7 +81,7 @@
 			m.self.Disk = "first"
 			seeds := slices.Clone(c.Seeds)
 			slices.Sort(seeds)
-			v := View{No: 1}
+			v := View{No: 1, Epoch: 1}
 			for _, a := range slices.Compact(seeds) {
 				v.Core = append(v.Core, Ident{a, "first"})
 			}
@@ -153,6 +155,12 @@
 	case e.Drop != nil:
 		m.drops = append(m.drops, &dropped{Drop: *e.Drop, until: m.now + dropMost, at: -1e18})
 	}
+	if e.Leave {
+		m.leave()
+	}
+	if e.Rebuild != nil {
+		m.rebuild(*e.Rebuild)
+	}
 	m.openView()
 	m.timers()
 	for len(m.local) > 0 {
@@ -173,6 +181,7 @@
 		m.nextBeat = m.now + m.c.Beat
 		m.beat()
 	}
+	m.counted()
 	m.releaseHeld()
 	m.resend()
 	m.redrop()
@@ -299,12 +308,13 @@
 	Leased    float64 // how long the tail's leases still hold, in milliseconds
 	Hears     []Ident // whom it has a path with
 	Whole     bool
+	Lost      float64 // how long no majority of the core has been heard, in milliseconds; 0 if one is
 }
 
 // Status tells how things stand.
 func (m *Machine) Status() Status {
 	s := Status{Self: m.self, View: m.view, Last: m.last(), Committed: m.base.Last, Lag: len(m.tail),
-		Leased: max(0, m.leasedUntil()-m.now), Whole: m.isWhole(), Role: "joining"}
+		Leased: max(0, m.leasedUntil()-m.now), Whole: m.isWhole(), Lost: m.lostFor(), Role: "joining"}
 	for _, x := range m.view.Core {
 		if x != m.self && m.live(x) {
 			s.Hears = append(s.Hears, x)
--- a/internal/cairn/types.go
+++ b/internal/cairn/types.go
@@ -14,9 +14,12 @@
 	No    uint64  `cbor:"1,keyasint,omitempty"`
 	Chain []Ident `cbor:"2,keyasint,omitempty"`
 	Core  []Ident `cbor:"3,keyasint,omitempty"`
-	// Forgot is how many machines the core has lost by orders so far: while it is the same, addresses were
-	// only added.
-	Forgot uint64 `cbor:"4,keyasint,omitempty"`
+	// Removed is how many seats of the core were given up or to another address so far: while it is the
+	// same, addresses were only added.
+	Removed uint64 `cbor:"4,keyasint,omitempty"`
+	// Epoch is how often the addresses of the core have changed so far: who votes on anything else under one
+	// epoch is the same.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Stamp names an entry: only one head gives numbers in a view, so no two entries share one.
@@ -145,12 +148,13 @@
 	View      uint64 `cbor:"1,keyasint,omitempty"`
 	Last      Stamp  `cbor:"2,keyasint,omitempty"`
 	Committed Stamp  `cbor:"3,keyasint,omitempty"`
-	Whole     bool   `cbor:"4,keyasint,omitempty"` // holds all that was acknowledged before this view
-	Filled    bool   `cbor:"5,keyasint,omitempty"` // was given the whole state in this view
-	Hears     uint64 `cbor:"6,keyasint,omitempty"` // bits by place in the core: whom it has heard lately
-	Round     uint64 `cbor:"7,keyasint,omitempty"` // the highest round of a ballot it has seen for the next view, so that the next is higher at once
-	Ask       uint64 `cbor:"8,keyasint,omitempty"` // the number of a lease that the tail asks for; 0 for none
-	Life      uint64 `cbor:"9,keyasint,omitempty"` // the life of the process that asks
+	Whole     bool   `cbor:"4,keyasint,omitempty"`  // holds all that was acknowledged before this view
+	Filled    bool   `cbor:"5,keyasint,omitempty"`  // was given the whole state in this view
+	Hears     uint64 `cbor:"6,keyasint,omitempty"`  // bits by place in the core: whom it has heard lately
+	Round     uint64 `cbor:"7,keyasint,omitempty"`  // the highest round of a ballot it has seen for the next view, so that the next is higher at once
+	Ask       uint64 `cbor:"8,keyasint,omitempty"`  // the number of a lease that the tail asks for; 0 for none
+	Life      uint64 `cbor:"9,keyasint,omitempty"`  // the life of the process that asks
+	Leaving   bool   `cbor:"10,keyasint,omitempty"` // its process is about to end
 }
 
 // Grant gives (or, as a release, gives back) the lease that was asked for under a number.
@@ -255,6 +259,8 @@
 	Submit  *Submit
 	Ask     *Ask
 	Drop    *Drop
+	Rebuild *Rebuild
+	Leave   bool // the process is about to end: hand over
 }
 
 // Drop is an operator's order that the core forgets the machine at an address, which is gone for good.
@@ -263,6 +269,13 @@
 	Addr string
 }
 
+// Rebuild is an operator's order to begin a core of this machine alone, from the copy that it holds, as
+// the others are gone for good. Last names the copy: it is what the operator found to be the newest.
+type Rebuild struct {
+	ID   uint64
+	Last Stamp
+}
+
 // Submit is a change wanted by a caller on this machine. IDs must not repeat within a life.
 type Submit struct {
 	ID     uint64
@@ -317,6 +330,9 @@
 	Answer  float64 // until a Submit or an Ask is given up: 900
 	Again   float64 // until something unanswered is sent again: 250
 	Ballot  float64 // until a ballot is tried again; over Lease and Slack: 900
+	Vacant  float64 // silence after which a newcomer may have a member's seat: 2000
+	Rest    float64 // silence after which a core of an even number does without a member: 4000
+	Lost    float64 // without a majority, after which an operator may have the core rebuilt: 10000
 	Window  int     // entries that may be under way: 8
 	Bytes   int     // of records after which to compact: 4 MiB
 }
@@ -334,6 +350,9 @@
 	set(&c.Answer, 900)
 	set(&c.Again, 250)
 	set(&c.Ballot, 900)
+	set(&c.Vacant, 2000)
+	set(&c.Rest, 4000)
+	set(&c.Lost, 10000)
 	if c.Window == 0 {
 		c.Window = 8
 	}
--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -56,7 +56,7 @@
 // beat tells the others about this machine.
 func (m *Machine) beat() {
 	b := Beat{View: m.view.No, Last: m.last(), Committed: m.base.Last, Whole: m.isWhole(), Filled: m.filled,
-		Round: max(m.round, m.promised.Round), Ask: m.askLease(), Life: m.life}
+		Round: max(m.round, m.promised.Round), Ask: m.askLease(), Life: m.life, Leaving: m.leaving}
 	for i, x := range m.view.Core {
 		if i < 64 && m.hearsAt(x) {
 			b.Hears |= 1 << i
@@ -76,7 +76,7 @@
 			m.send(to, Message{Beat: &b})
 		}
 	}
-	if !m.votes() {
+	if !m.votes() || m.alone > 0 { // the core may have moved on to machines that the seeds name
 		for _, a := range m.c.Seeds {
 			if !addrs[a] {
 				addrs[a] = true
@@ -103,14 +103,7 @@
 
 // hearsAt says whether a machine was heard lately. After a start everyone is given the time to speak.
 func (m *Machine) hearsAt(x Ident) bool {
-	if x == m.self {
-		return true
-	}
-	at := m.start
-	if p := m.peers[x]; p != nil {
-		at = max(at, p.heard)
-	}
-	return m.now-at < m.c.Suspect
+	return x == m.self || m.silence(x) < m.c.Suspect
 }
 
 // live says whether there is a path both ways: a machine that is heard but hears nobody would
@@ -149,7 +142,7 @@
 		m.commitAt(b.Committed)
 		return
 	}
-	if at >= 0 && !b.Filled && m.isWhole() && m.now-p.filled > 2*m.c.Again && m.live(from) && m.leading() == 0 {
+	if at >= 0 && !b.Filled && !b.Leaving && m.isWhole() && m.now-p.filled > 2*m.c.Again && m.live(from) && m.leading() == 0 {
 		p.filled = m.now
 		m.send(from, Message{Fill: &Fill{View: m.view.No, Whole: m.log()}})
 	}
@@ -169,20 +162,9 @@
 	return n
 }
 
-// wanted is the view that ought to come next, if there is one and it may be formed.
+// wanted is the view that ought to come next, if there is one and it may be formed. Members that are about to
+// leave are let go where a chain can do without them.
 func (m *Machine) wanted() (View, bool) {
-	var old, rest, back []Ident
-	lost := false
-	report := func(x Ident) (Beat, bool) {
-		if x == m.self {
-			return Beat{View: m.view.No, Whole: m.isWhole()}, true
-		}
-		p := m.peers[x]
-		if p == nil || p.heard == 0 && p.beat.View == 0 {
-			return Beat{}, false
-		}
-		return p.beat, p.beat.View == m.view.No
-	}
 	alive := 0
 	for _, x := range m.view.Core {
 		if m.live(x) {
@@ -192,12 +174,36 @@
 	if !m.majority(alive) {
 		return View{}, false
 	}
+	if slices.ContainsFunc(m.view.Chain, m.leaves) {
+		if v, ok := m.next(true); ok {
+			return v, true
+		}
+	}
+	return m.next(false)
+}
+
+// report is what a machine last said, and whether that is of this view.
+func (m *Machine) report(x Ident) (Beat, bool) {
+	if x == m.self {
+		return Beat{View: m.view.No, Whole: m.isWhole(), Leaving: m.leaving}, true
+	}
+	p := m.peers[x]
+	if p == nil || p.heard == 0 && p.beat.View == 0 {
+		return Beat{}, false
+	}
+	return p.beat, p.beat.View == m.view.No
+}
+
+// next is the view that would follow, with or without those that are about to leave.
+func (m *Machine) next(letGo bool) (View, bool) {
+	var old, rest, back []Ident
+	lost := false
 	for _, x := range m.view.Chain {
-		if !m.live(x) {
+		if !m.live(x) || letGo && m.leaves(x) {
 			lost = true
 			continue
 		}
-		b, ok := report(x)
+		b, ok := m.report(x)
 		if !ok && m.now-m.viewSince < m.c.Suspect {
 			return View{}, false // it is about to learn of this view
 		}
@@ -211,41 +217,22 @@
 		return View{}, false
 	}
 	for _, x := range m.view.Core {
-		if b, ok := report(x); ok && b.Filled && !slices.Contains(m.view.Chain, x) && m.live(x) && m.heardByAll(x) {
+		if b, ok := m.report(x); ok && b.Filled && !b.Leaving && !slices.Contains(m.view.Chain, x) && m.live(x) && m.heardByAll(x) {
 			back = append(back, x)
 		}
 	}
-	core := slices.Clone(m.view.Core)
-	var join *Ident
-	for _, x := range m.known() {
-		if b, ok := report(x); ok && b.Filled && !slices.Contains(core, x) && m.live(x) {
-			join = &x
-			break
-		}
-	}
-	gone := m.forgotten()
-	if !lost && len(back) == 0 && join == nil && gone == nil {
-		return View{}, false
-	}
 	next := slices.Concat(old, rest, back)
+	core, join, epoch, removed := m.seats(next)
 	if join != nil {
-		same := func(x Ident) bool { return x.Addr == join.Addr }
-		next = append(slices.DeleteFunc(next, same), *join)
-		if i := slices.IndexFunc(core, same); i >= 0 {
-			core[i] = *join
-		} else {
-			core = append(core, *join)
-		}
+		next = append(slices.DeleteFunc(next, func(x Ident) bool { return x.Addr == join.Addr }), *join)
 	}
-	forgot := m.view.Forgot
-	if gone != nil {
-		core = slices.DeleteFunc(core, func(x Ident) bool { return x == *gone })
-		forgot++
+	if !lost && len(back) == 0 && join == nil && epoch == m.view.Epoch {
+		return View{}, false
 	}
 	if 2*len(next) <= len(core) || !slices.Contains(old, next[0]) {
 		return View{}, false
 	}
-	return View{No: m.view.No + 1, Chain: next, Core: core, Forgot: forgot}, true
+	return View{No: m.view.No + 1, Chain: next, Core: core, Epoch: epoch, Removed: removed}, true
 }
 
 // heardByAll says whether all live members of the chain hear a machine of the core; one that only
@@ -441,7 +428,10 @@
 	if v.No <= m.view.No {
 		return
 	}
-	whole := v.No == m.view.No+1 && m.place() >= 0 && m.isWhole()
+	m.enterView(v, v.No == m.view.No+1 && m.place() >= 0 && m.isWhole())
+}
+
+func (m *Machine) enterView(v View, whole bool) {
 	m.view, m.whole, m.filled, m.viewSince = v, whole, false, m.now
 	m.promised, m.accepted = Ballot{}, nil
 	m.clearVolatile()
--- a/internal/signpost/signpost.go
+++ b/internal/signpost/signpost.go
@@ -52,6 +52,7 @@
 	c.Register(&shed{}, "")
 	c.Register(&shadow{}, "")
 	c.Register(&forget{}, "")
+	c.Register(&rebuild{}, "")
 	c.Register(&version{}, "")
 	_ = set.Parse(os.Args[1:])
 	return int(c.Execute(context.Background()))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,7 +29,9 @@
 	queueMost    = 1024
 	answerMost   = time.Second // the machine answers before that
 	forgetMost   = 5 * time.Second
+	leavePart    = 0.35 // of graceS, that a process stays for others to take over
 	figuresEvery = 10 * time.Second
+	lostAfter    = 3000.0   // milliseconds without a majority of the core after which that is told
 	mostChange   = 24 << 20 // bytes of a change
 	recallAfter  = 60 * time.Millisecond
 )
@@ -52,6 +54,7 @@
 	waiting map[uint64]chan<- result
 	looks   []func()
 	view    uint64
+	lost    bool // no majority of the core is heard, and that was told
 	counts  counts
 }
 
@@ -133,6 +136,7 @@
 	traverse.Handle(server, s.confirm)
 	traverse.Handle(server, s.status)
 	traverse.Handle(server, s.forget)
+	traverse.Handle(server, s.rebuild)
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
 	return s.run(ctx)
@@ -143,10 +147,16 @@
 	tick, figures := time.NewTicker(tickEvery), time.NewTicker(figuresEvery)
 	defer tick.Stop()
 	defer figures.Stop()
+	ending := ctx.Done()
+	var over <-chan time.Time
 	for {
 		var out cairn.Out
 		select {
-		case <-ctx.Done():
+		case <-ending:
+			ending, over = nil, time.After(time.Duration(s.set.Bounds.GraceS*leavePart*float64(time.Second)))
+			s.step(event{Event: cairn.Event{Leave: true}}, &out)
+		case <-over:
+			s.log.Warn().Msg("ends though the chain can't do without it")
 			return s.journal.Close()
 		case <-figures.C:
 			s.log.Info().Interface("counts", s.counts).Interface("sent", traverse.Sent()).Int64("diskBytes", s.journal.Size()).Str("status", s.standing()).
@@ -166,6 +176,9 @@
 		if err := s.carryOut(&out); err != nil {
 			return err
 		}
+		if over != nil && s.machine.Left() {
+			return s.journal.Close()
+		}
 	}
 }
 
@@ -230,6 +243,14 @@
 		s.view = view.No
 		s.log.Info().Uint64("view", view.No).Strs("chain", addrs(view.Chain)).Strs("core", addrs(view.Core)).Msg("view")
 	}
+	if lost := s.machine.Status().Lost; lost > lostAfter && !s.lost {
+		s.lost = true
+		s.log.Error().Strs("core", addrs(view.Core)).Strs("hears", addrs(s.machine.Status().Hears)).
+			Msg("no majority of the core is heard: orders are refused until one is, or the core is rebuilt")
+	} else if lost == 0 && s.lost {
+		s.lost = false
+		s.log.Info().Msg("a majority of the core is heard again")
+	}
 	if out.Compact {
 		batch, err := encode(s.machine.Snapshot())
 		if err == nil {
@@ -355,11 +376,29 @@
 	return waymark.Forgotten{Core: addrs(r.view.Core)}, nil
 }
 
+// rebuild has this machine begin a core of its own, from its copy.
+func (s *Store) rebuild(ctx context.Context, q waymark.Rebuild) (waymark.Rebuilt, error) {
+	id := s.lastID.Add(1)
+	r, err := s.put(ctx, event{Event: cairn.Event{Rebuild: &cairn.Rebuild{ID: id, Last: q.Last}}, id: id})
+	if err != nil {
+		return waymark.Rebuilt{}, err
+	}
+	s.log.Warn().Uint64("view", r.view.No).Msg("the core is rebuilt from this copy by an order")
+	return waymark.Rebuilt{View: r.view.No}, nil
+}
+
 // standing is how the machine stands, in words. On the loop.
 func (s *Store) standing() string {
 	st := s.machine.Status()
-	return fmt.Sprintf("%s, holds %d, committed %d, leases %.0f ms, hears %v", st.Role, st.Last.Seq, st.Committed.Seq, st.Leased,
-		addrs(st.Hears))
+	copy, majority := "", ""
+	if st.Whole {
+		copy = ", whole"
+	}
+	if st.Lost > 0 {
+		majority = fmt.Sprintf(", no majority of the core for %.0f ms", st.Lost)
+	}
+	return fmt.Sprintf("%s, holds %d.%d%s, committed %d, leases %.0f ms, hears %v%s", st.Role, st.Last.View, st.Last.Seq, copy, st.Committed.Seq,
+		st.Leased, addrs(st.Hears), majority)
 }
 
 // newerView is a view, if it is newer than the one held.
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -107,6 +107,7 @@
 
 	isReady atomic.Bool
 	cores   []waymark.Core // beside the loop: the session's
+	named   []string       // of them, by the settings
 	away    map[string]time.Time
 	peers   map[string]*traverse.Peer
 	seeds   chan []string
@@ -131,9 +132,8 @@
 	p.tenants.FloorFor = floorFor
 	p.front = &front{p: p}
 	p.relay, p.turns = newRelay(), map[string]uint64{}
-	for _, s := range set.Seeds(0) {
-		p.cores = append(p.cores, waymark.Core{Addr: s})
-	}
+	p.named = set.Seeds(0)
+	p.learn(seedCores(p.named))
 	tune(set.SizeLimits.MemoryMB)
 	budget := link.NewBudget(set.SizeLimits.Handles-handlesKept, 32)
 	loop, err := link.NewLoop(budget)
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -26,6 +26,7 @@
 func (p *Proxy) sign(ctx context.Context) {
 	select {
 	case seeds := <-p.seeds:
+		p.named = seeds
 		p.learn(seedCores(seeds))
 	default:
 	}
@@ -58,6 +59,9 @@
 		pause(ctx, failWait)
 		return
 	}
+	if len(a.Cores) > 0 && !a.Stale {
+		p.forget(a.Cores)
+	}
 	p.learn(a.Cores)
 	if !p.heard(ctx, &a, asked) {
 		defer pause(ctx, unreadWait) // it comes with each answer
@@ -105,8 +109,23 @@
 	return cores
 }
 
-// learn takes core machines that it is told of. None is forgotten: one that is down may be the
-// only one that is up later.
+// forget drops core machines that neither who has the tail's word nor the settings name: they have been
+// replaced.
+func (p *Proxy) forget(told []waymark.Core) {
+	p.cores = slices.DeleteFunc(p.cores, func(c waymark.Core) bool {
+		if slices.Contains(p.named, c.Addr) || slices.ContainsFunc(told, func(k waymark.Core) bool { return k.Addr == c.Addr }) {
+			return false
+		}
+		if peer := p.peers[c.Addr]; peer != nil {
+			peer.Close()
+		}
+		delete(p.peers, c.Addr)
+		delete(p.away, c.Addr)
+		return true
+	})
+}
+
+// learn takes core machines that it is told of. One that is down may be the only one that is up later.
 func (p *Proxy) learn(cores []waymark.Core) {
 	for _, c := range cores {
 		i := slices.IndexFunc(p.cores, func(k waymark.Core) bool { return k.Addr == c.Addr })
--- a/internal/warden/sim_test.go
+++ b/internal/warden/sim_test.go
@@ -86,7 +86,7 @@
 	x.m = New(x.id, w.chance.Uint64(), w.now+x.skew, 0, first, works...)
 	x.down, x.frozen, x.inbox = false, false, nil
 	if x.disk != nil {
-		x.m.Remember(x.disk)
+		x.m.Remember(x.disk, 0)
 	}
 }
 
@@ -191,7 +191,7 @@
 		}
 	}
 	for _, x := range w.nodes {
-		if ids := x.m.Settled(w.now + x.skew); ids != nil && w.grows && !x.down && !x.frozen {
+		if ids, _ := x.m.Settled(w.now + x.skew); ids != nil && w.grows && !x.down && !x.frozen {
 			x.disk = ids
 		}
 	}
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -175,6 +175,7 @@
 	first    bool
 	stepped  bool
 	earlier  []string // the electorate that an earlier life knew
+	epoch    uint64   // and its number; 0 where that is not known
 	resigned bool     // stands no more
 	chance   *rand.Rand
 	names    []string // of duties, sorted
@@ -215,21 +216,22 @@
 
 // Remember tells the electorate that an earlier life of this bothy got from Settled. Where no address
 // was ever taken out of the core and the first electorate is the same, there was no other
-// in between, and none that anybody still trusts. It is to be called before the first Electorate.
-func (m *Machine) Remember(ids []string) {
-	m.earlier = slices.Compact(slices.Sorted(slices.Values(ids)))
+// in between, and none that anybody still trusts; nor where its number is the same. It is to be called
+// before the first Electorate.
+func (m *Machine) Remember(ids []string, edition uint64) {
+	m.epoch, m.earlier = edition, slices.Compact(slices.Sorted(slices.Values(ids)))
 }
 
-// Settled is the electorate where nobody trusts any other one; nil else. What a later life
+// Settled is the electorate where nobody trusts any other one, and its number; nil else. What a later life
 // is to Remember is this alone: one just learned says nothing of those before it.
-func (m *Machine) Settled(now float64) []string {
+func (m *Machine) Settled(now float64) (ids []string, edition uint64) {
 	if m.forget(now); len(m.councils) != 1 || now < m.alone {
-		return nil
+		return nil, 0
 	}
-	return slices.Clone(m.councils[0].ids)
+	return slices.Clone(m.councils[0].ids), m.councils[0].edition
 }
 
-// Electorate tells who votes. It is to be called whenever the view is confirmed, and `asked` is
+// Electorate tells who votes; editions number the electorates. It is to be called whenever the view is confirmed, and `asked` is
 // when the question was sent whose answer confirmed it: the view was in force at some moment
 // since. Without that a bothy that is cut off could go on for ever under an old view, while
 // others have moved two views ahead. Editions should be told one by one: after a gap, nothing
@@ -256,7 +258,7 @@
 		if edition > last.edition+1 {
 			m.open = now + m.trust
 		}
-	} else if m.alone = now - ageless; !m.first && edition > 1 && (shrunk > 0 || !slices.Equal(ids, m.earlier)) {
+	} else if m.alone = now - ageless; !m.first && edition > 1 && (shrunk > 0 && edition != m.epoch || !slices.Equal(ids, m.earlier)) {
 		// Those before it are unknown, and others may still trust them.
 		m.open, m.alone = now+m.trust, now+m.trust
 	}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -151,14 +151,14 @@
 		from    float64
 	}{{[]string{"a"}, 1500}, {[]string{"a", "b"}, 3000}, {nil, 3000}} {
 		m := New("a", 3, 0, 0, false, "roster")
-		m.Remember(c.earlier)
+		m.Remember(c.earlier, 0)
 		won, settled := 0.0, -1.0
 		for now := 20.0; now < 6000; now += 20 {
 			m.Electorate(now, now-10, []string{"a"}, 7, 0)
 			if out := m.Step(now, Event{Kind: Tick}); len(out.Won) > 0 {
 				won = now
 			}
-			if settled < 0 && m.Settled(now) != nil {
+			if ids, _ := m.Settled(now); settled < 0 && ids != nil {
 				settled = now
 			}
 		}
@@ -167,10 +167,14 @@
 	}
 	m := New("a", 3, 0, 0, true, "roster")
 	m.Electorate(0, 0, []string{"a"}, 1, 0)
-	assert.DeepEqual(t, m.Settled(0), []string{"a"})
+	settledAt := func(now float64) []string {
+		ids, _ := m.Settled(now)
+		return ids
+	}
+	assert.DeepEqual(t, settledAt(0), []string{"a"})
 	m.Electorate(100, 100, []string{"a", "b"}, 2, 0)
-	assert.Assert(t, m.Settled(3000) == nil)
-	assert.DeepEqual(t, m.Settled(3101), []string{"a", "b"})
+	assert.Assert(t, settledAt(3000) == nil)
+	assert.DeepEqual(t, settledAt(3101), []string{"a", "b"})
 }
 
 func TestAnElectorateIsTrustedOnlyForATime(t *testing.T) {
@@ -263,10 +267,13 @@
 		m.Electorate(0, 0, five, 1, 0)
 		m.Electorate(9000, 9000, five, 5, shrunk)
 		assert.Equal(t, m.open > 9000, shrunk > 0)
-		assert.Equal(t, m.Settled(9000) == nil, shrunk > 0)
-		m = New("e", 3, 0, 0, false, "roster")
-		m.Remember(five)
-		m.Electorate(9000, 9000, five, 5, shrunk)
-		assert.Equal(t, m.open > 9000, shrunk > 0, "another life")
+		ids, _ := m.Settled(9000)
+		assert.Equal(t, ids == nil, shrunk > 0)
+		for _, known := range []uint64{0, 4, 5} { // the number that the other life kept: the same is the same
+			m = New("e", 3, 0, 0, false, "roster")
+			m.Remember(five, known)
+			m.Electorate(9000, 9000, five, 5, shrunk)
+			assert.Equal(t, m.open > 9000, shrunk > 0 && known != 5, "another life")
+		}
 	}
 }
--- a/internal/waymark/waymark.go
+++ b/internal/waymark/waymark.go
@@ -216,6 +216,12 @@
 	Recalled bool `cbor:"4,keyasint,omitempty"`
 }
 
+// Rebuild asks a cairn to begin a core of its own from the copy that it holds, which Last names.
+type Rebuild struct{ Last cairn.Stamp }
+
+// Rebuilt names the view that has begun.
+type Rebuilt struct{ View uint64 }
+
 // Forget asks a cairn that the core forget the machine at an address (a cairn's), which is gone for good.
 type Forget struct{ Addr string }
 
