Seats of a fixed number: newcomers wait at the ready for one that is free or vacant

Now a core has the seats of its first start; who comes later waits, filled, and gets a seat that is free, left, or silent for 2 s. A leaver stays until who waits has its seat.

--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -49,6 +49,7 @@
 	crowdAfter   = 300.0 // milliseconds after its start from which members are told of
 	confirmEvery = 200 * time.Millisecond
 	gossipEvery  = 300 * time.Millisecond
+	guestKeep    = 3000.0 // milliseconds
 	wholeEvery   = 3000.0 // milliseconds between two whole pages, whatever is the same
 	wardenEvery  = 50 * time.Millisecond
 	rosterEvery  = 400 * time.Millisecond
@@ -73,6 +74,8 @@
 	peers     map[string]*traverse.Peer // the other bothies
 	zones     map[string]string         // theirs
 	seeds     []string
+	known     []string           // other bothies that gatekeepers may sign with
+	guests    map[string]float64 // when bothies outside the core last spoke
 	state     cairn.State
 	packed    []byte // the state's configuration, as it travels
 	parsed    *timetable.Timetable
@@ -118,7 +121,8 @@
 // New makes a bothy. It also stands for the duties named.
 func New(set *trailhead.Settings, log zerolog.Logger, duties ...string) *Bothy {
 	b := &Bothy{set: set, log: log, start: time.Now(), cairn: traverse.NewPeer(set.Inner(cairnDock)),
-		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64()}
+		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64(),
+		guests: map[string]float64{}}
 	self := set.Inner(bothyDock)
 	b.book = guestbook.New(self, rand.Uint64(), b.now(), lapse)
 	kept, epoch, first := recall(set.ArchiveDir)
@@ -156,7 +160,8 @@
 	b.electorate()
 }
 
-// electorate brings who votes and who is told to what the view and the seeds say.
+// electorate brings who votes and who is told to what the view and the seeds say. A bothy whose machine waits
+// for a seat in the core is told of sessions as long as it speaks: outside callers may ask it.
 func (b *Bothy) electorate() {
 	self := b.set.Inner(bothyDock)
 	var core []string
@@ -171,13 +176,23 @@
 	if b.view.No == 0 || b.blind { // the core may be, or have moved on to, what the seeds name
 		known = append(known, b.seeds...)
 	}
-	for _, addr := range known {
-		if addr != self && b.peers[addr] == nil {
+	slices.Sort(known)
+	b.known = slices.DeleteFunc(slices.Compact(known), func(addr string) bool { return addr == self })
+	told := slices.Clone(b.known)
+	for addr, at := range b.guests {
+		if b.now()-at > guestKeep || slices.Contains(b.known, addr) {
+			delete(b.guests, addr)
+		} else {
+			told = append(told, addr)
+		}
+	}
+	for _, addr := range told {
+		if b.peers[addr] == nil {
 			b.peers[addr] = traverse.NewPeer(addr)
 		}
 	}
 	for addr, p := range b.peers {
-		if !slices.Contains(known, addr) {
+		if !slices.Contains(told, addr) {
 			p.Close()
 			delete(b.peers, addr)
 		}
@@ -388,6 +403,9 @@
 	all.Wait()
 	b.mu.Lock()
 	b.rolled()
+	if len(b.guests) > 0 {
+		b.electorate()
+	}
 	b.mu.Unlock()
 }
 
@@ -443,6 +461,12 @@
 func (b *Bothy) gossiped(ctx context.Context, g waymark.Gossip) (waymark.Heard, error) {
 	b.hear(g.From, g.Zone, g.Page)
 	b.mu.Lock()
+	if self := b.set.Inner(bothyDock); g.From != self && !slices.Contains(b.known, g.From) {
+		_, was := b.guests[g.From]
+		if b.guests[g.From] = b.now(); !was {
+			b.electorate()
+		}
+	}
 	p := b.peers[g.From]
 	h := waymark.Heard{Roster: b.roster.version, Life: b.life}
 	b.mu.Unlock()
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -55,7 +55,7 @@
 func (b *Bothy) signed(q waymark.Sign, came float64) (a waymark.Signed, some bool) {
 	now := b.now()
 	a.AsOf = b.asked - came
-	a.Stale = b.asked == 0 || now-b.asked > staleAfter
+	a.Stale = b.asked == 0 || now-b.asked > staleAfter || b.waits()
 	a.Settled = b.book.Settled(now, b.core)
 	a.Again = b.book.Again(now, q.Guest.Station, b.set.Bounds.QuotaWindowS*1e3+cistern.KickKeepMs)
 	roll := b.book.Members(now)
@@ -116,10 +116,19 @@
 	return c
 }
 
+// waits tells whether this machine has no seat in the core: it hears of no duty's holder, so gatekeepers are
+// better off elsewhere. The lock is held.
+func (b *Bothy) waits() bool {
+	return b.view.No > 0 && !slices.Contains(b.core, b.set.Inner(bothyDock))
+}
+
 // count notes the core machines that are known, with a mark that changes with them. The lock is held.
 func (b *Bothy) count() {
-	cores := []waymark.Core{{Addr: b.set.Inner(bothyDock), Zone: b.set.Zone}}
-	for addr := range b.peers {
+	var cores []waymark.Core
+	if !b.waits() {
+		cores = append(cores, waymark.Core{Addr: b.set.Inner(bothyDock), Zone: b.set.Zone})
+	}
+	for _, addr := range b.known {
 		cores = append(cores, waymark.Core{Addr: addr, Zone: b.zones[addr]})
 	}
 	slices.SortFunc(cores, func(x, y waymark.Core) int { return strings.Compare(x.Addr, y.Addr) })
--- a/internal/cairn/leave.go
+++ b/internal/cairn/leave.go
@@ -12,6 +12,9 @@
 
 // Left says whether the process may end without taking anything with it that others lack.
 func (m *Machine) Left() bool {
+	if m.faults.hasty && m.leaving {
+		return true
+	}
 	if !m.leaving || m.place() >= 0 {
 		return false
 	}
@@ -19,5 +22,9 @@
 		p := m.peers[x]
 		return p != nil && p.beat.View == m.view.No && p.beat.Committed.View == m.view.No
 	}
-	return m.view.No == 0 || slices.ContainsFunc(m.view.Chain, opened)
+	// Who waits for a seat is to have this one first: until then one more loss might leave no majority.
+	ready := m.votes() && slices.ContainsFunc(m.known(), func(x Ident) bool {
+		return !slices.Contains(m.view.Core, x) && m.hearsAt(x) && !m.peers[x].beat.Leaving
+	})
+	return m.view.No == 0 || !ready && slices.ContainsFunc(m.view.Chain, opened)
 }
--- a/internal/cairn/machine.go
+++ b/internal/cairn/machine.go
@@ -18,6 +18,10 @@
 	trustFill    bool // a late fill may take entries away again
 	lateOrders   bool // a change of a zone may come after newer ones
 	whims        bool // no fault: operators have machines forgotten at any time
+	turnover     bool // no fault: machines are replaced, and restarted in order
+	ghosts       bool // a newcomer takes nobody's seat, and none is given up
+	hasty        bool // a process that is asked to end does not wait for the others to hold what it held
+	grabs        bool // a newcomer may have the seat of a member that others hear, at once
 }
 
 // peer is what is known of another machine from its beats.
@@ -54,6 +58,7 @@
 	peers    map[Ident]*peer
 	nextBeat float64
 	leaving  bool
+	extra    bool    // one of the machines of the very first start, that never had a seat
 	alone    float64 // since when no majority of the core has been heard; 0 if one is
 
 	ballots
@@ -85,12 +90,13 @@
 			for _, a := range slices.Compact(seeds) {
 				v.Core = append(v.Core, Ident{a, "first"})
 			}
-			v.Chain = slices.Clone(v.Core)
+			v.Chain, v.Seats = slices.Clone(v.Core), len(v.Core)
 			m.view, m.whole = v, true
 			// One record holds both, so that no start finds a name without the view it stands for.
 			r.View = &ViewRecord{View: v, Whole: true}
 		} else {
 			m.self.Disk = fmt.Sprintf("%016x", m.rng.Uint64())
+			m.extra, r.First = c.FirstRun, c.FirstRun
 		}
 		r.Disk = m.self.Disk
 		m.first = []Record{r}
@@ -102,10 +108,11 @@
 // restore takes one record from the disk.
 func (m *Machine) restore(r Record) {
 	if r.Disk != "" {
-		m.self.Disk = r.Disk
+		m.self.Disk, m.extra = r.Disk, r.First
 	}
 	if r.View != nil && r.View.View.No > m.view.No {
 		m.view, m.whole = r.View.View, r.View.Whole
+		m.extra = m.extra && !m.votes()
 		m.promised, m.accepted = Ballot{}, nil
 	}
 	if !m.faults.forgetVotes {
@@ -268,7 +275,7 @@
 // Snapshot is the fewest records that restore the machine as of the last step. The caller has
 // synced that step; the records may then take the place of all earlier ones.
 func (m *Machine) Snapshot() []Record {
-	rs := []Record{{Disk: m.self.Disk}}
+	rs := []Record{{Disk: m.self.Disk, First: m.extra}}
 	if m.view.No > 0 {
 		rs[0].View = &ViewRecord{View: m.view, Whole: m.whole}
 	}
--- a/internal/cairn/rebuild.go
+++ b/internal/cairn/rebuild.go
@@ -42,6 +42,7 @@
 		return
 	}
 	only := []Ident{m.self}
-	m.enterView(View{No: m.view.No + rebuildStep, Chain: only, Core: only, Removed: m.view.Removed + 1, Epoch: m.view.Epoch + rebuildStep}, true)
+	m.enterView(View{No: m.view.No + rebuildStep, Chain: only, Core: only, Removed: m.view.Removed + 1, Epoch: m.view.Epoch + rebuildStep,
+		Seats: max(m.view.Seats, len(m.view.Core))}, true)
 	m.out.Done = append(m.out.Done, Result{ID: r.ID, Outcome: OK})
 }
--- a/internal/cairn/seats.go
+++ b/internal/cairn/seats.go
@@ -3,19 +3,17 @@
 import "slices"
 
 // The core changes by agreement alone: each view names the next core, and a majority of the core before has
-// voted for it. One view changes one seat:
+// voted for it. It has a fixed number of seats, and one view changes one of them:
 //
-//   - A newcomer that has been filled gets the seat of a member that is leaving, or else of the one that nobody
-//     has heard for longest, for Vacant at least. Where all are heard the core grows. While one has fallen
-//     silent a newcomer waits: it is about to be heard again, or its seat falls vacant.
+//   - The machines of the very first start that the settings of none named add a seat each.
 //   - A machine with an empty disk gets the seat of its own address.
-//   - A core of an even number does without a member that is leaving, or has not been heard for Rest: any
-//     majority of the even core holds a majority of the odd one that is left, so nothing that could be decided
-//     before can't be now. In a core of an odd number a seat waits for a newcomer.
+//   - Any other newcomer is filled and waits at the ready. It gets a seat that is free, else that of a member
+//     that is leaving, else that of the member that nobody has heard for longest, and for Vacant at least.
 //
-// So whichever members are gone for good, no view leaves fewer losses to bear than the one before it. Who lost
-// a seat and was only cut off, frozen or slow can decide nothing with the old core, hears of the new one, is
-// filled and joins as a newcomer.
+// A seat is never given up to nobody: a member that is away counts until another one is there in its place. So
+// whichever members are gone for good, no view leaves fewer losses to bear than the one before it. Who lost a
+// seat and was only cut off, frozen or slow can decide nothing with the old core, hears of the new one, and is
+// a newcomer from then on.
 
 // silence is how long a machine has not been heard. After a start everyone is given the time to speak.
 func (m *Machine) silence(x Ident) float64 {
@@ -46,70 +44,86 @@
 	return b.Leaving
 }
 
-// newcomer is a machine outside the core that is filled and has a path with all members of the chain.
-func (m *Machine) newcomer() *Ident {
+// vacant is the member whose seat another may have: one that is leaving, or the one that has been silent for
+// longest, and for that long at least.
+func (m *Machine) vacant(chain []Ident, after float64) (gone *Ident) {
+	for _, x := range m.view.Core {
+		if slices.Contains(chain, x) || x == m.self && !m.leaving {
+			continue
+		}
+		if m.leaves(x) {
+			return &x
+		}
+		if s := m.silence(x); !m.live(x) && s >= after && (m.unheard(x) || m.faults.grabs) {
+			gone, after = &x, s
+		}
+	}
+	return gone
+}
+
+// open says whether a newcomer may have a seat, or could have one soon.
+func (m *Machine) open(b Beat) bool {
+	return len(m.view.Core) < m.view.Seats || b.First || m.vacant(nil, m.c.Suspect) != nil
+}
+
+// stale says whether a machine outside the chain must be given the whole state to go on: it has not got it in
+// this view, or it is at the ready, may soon have a seat, and has missed what is committed since.
+func (m *Machine) stale(x Ident, b Beat) bool {
+	if !b.Filled {
+		return true
+	}
+	_, holds := m.holds(b.Last)
+	return !holds && !slices.Contains(m.view.Core, x) && m.open(b)
+}
+
+// newcomer is a machine outside the core that is filled and has a path with all members of the chain, and what
+// it last said.
+func (m *Machine) newcomer() (*Ident, Beat) {
 	for _, x := range m.known() {
 		b, ok := m.report(x)
 		if !ok || !b.Filled || b.Leaving || slices.Contains(m.view.Core, x) || !m.live(x) {
 			continue
 		}
-		all := true
+		near := true
 		for i, y := range m.view.Core {
-			all = all && (y == m.self || i >= 64 || b.Hears>>i&1 == 1 || !slices.Contains(m.view.Chain, y) || !m.live(y))
+			near = near && (y == m.self || i >= 64 || b.Hears>>i&1 == 1 || !slices.Contains(m.view.Chain, y) || !m.live(y))
 		}
-		if all {
-			return &x
+		if near && !m.stale(x, b) {
+			return &x, b
 		}
 	}
-	return nil
+	return nil, Beat{}
 }
 
-// seats is the core that a chain is to have, who joins it, its epoch, and how many seats have been removed.
-func (m *Machine) seats(chain []Ident) (core []Ident, join *Ident, epoch, removed uint64) {
-	core, join, epoch, removed = slices.Clone(m.view.Core), m.newcomer(), m.view.Epoch, m.view.Removed
+// seated is the next view with a chain, and with at most one seat changed.
+func (m *Machine) seated(chain []Ident) View {
+	v := View{No: m.view.No + 1, Chain: chain, Core: slices.Clone(m.view.Core), Epoch: m.view.Epoch, Removed: m.view.Removed,
+		Seats: max(m.view.Seats, len(m.view.Core))}
+	join, b := m.newcomer()
 	var gone *Ident
-	if join != nil {
-		if i := slices.IndexFunc(core, func(x Ident) bool { return x.Addr == join.Addr }); i >= 0 {
-			core[i] = *join
-			return core, join, epoch, removed
+	if join == nil {
+		if gone = m.forgotten(); gone == nil {
+			return v
 		}
-		vacant, wait := m.vacant(chain, m.c.Vacant)
-		if wait {
-			return core, nil, epoch, removed
+	} else if i := slices.IndexFunc(v.Core, func(x Ident) bool { return x.Addr == join.Addr }); i >= 0 {
+		v.Core[i] = *join
+		v.Chain = append(slices.DeleteFunc(v.Chain, func(x Ident) bool { return x.Addr == join.Addr }), *join)
+		return v
+	} else {
+		switch gone = m.vacant(chain, m.c.Vacant); {
+		case b.First || m.faults.ghosts:
+			gone, v.Seats = nil, v.Seats+1
+		case len(v.Core) < v.Seats:
+			gone = nil
+		case gone == nil:
+			return v // all are there
 		}
-		gone, core = vacant, append(core, *join)
-	} else if gone = m.forgotten(); gone == nil && len(core)%2 == 0 {
-		gone, _ = m.vacant(chain, m.c.Rest)
+		v.Chain, v.Core = append(v.Chain, *join), append(v.Core, *join)
 	}
 	if gone != nil {
-		core = slices.DeleteFunc(core, func(x Ident) bool { return x == *gone })
-		removed++
-	}
-	if gone != nil || join != nil {
-		epoch++
-	}
-	return core, join, epoch, removed
-}
-
-// vacant is the member of the core whose seat another may have: one that is leaving, or the one that has been
-// silent for longest. Where some are silent for less than that, wait is set.
-func (m *Machine) vacant(chain []Ident, after float64) (gone *Ident, wait bool) {
-	most := 0.0
-	for _, x := range m.view.Core {
-		if x == m.self && !m.leaving || slices.Contains(chain, x) {
-			continue
-		}
-		if m.leaves(x) {
-			return &x, false
-		}
-		if m.live(x) || !m.unheard(x) {
-			continue
-		}
-		if s := m.silence(x); s < after {
-			wait = true
-		} else if s > most {
-			gone, most = &x, s
-		}
+		v.Core = slices.DeleteFunc(v.Core, func(x Ident) bool { return x == *gone })
+		v.Removed++
 	}
-	return gone, wait && gone == nil
+	v.Epoch++
+	return v
 }
--- a/internal/cairn/types.go
+++ b/internal/cairn/types.go
@@ -20,6 +20,8 @@
 	// Epoch is how often the addresses of the core have changed so far: who votes on anything else under one
 	// epoch is the same.
 	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	// Seats is how many members the core is to have.
+	Seats int `cbor:"6,keyasint,omitempty"`
 }
 
 // Stamp names an entry: only one head gives numbers in a view, so no two entries share one.
@@ -87,6 +89,7 @@
 // Record is what must be on disk before what goes with it is sent. Each part may be absent.
 type Record struct {
 	Disk      string      `cbor:",omitempty"`
+	First     bool        `cbor:",omitempty"` // the disk was begun at the very first start, for a seat of its own
 	View      *ViewRecord `cbor:",omitempty"`
 	Promise   *Promised   `cbor:",omitempty"`
 	Accept    *Acceptance `cbor:",omitempty"`
@@ -155,6 +158,7 @@
 	Ask       uint64 `cbor:"8,keyasint,omitempty"`  // the number of a lease that the tail asks for; 0 for none
 	Life      uint64 `cbor:"9,keyasint,omitempty"`  // the life of the process that asks
 	Leaving   bool   `cbor:"10,keyasint,omitempty"` // its process is about to end
+	First     bool   `cbor:"11,keyasint,omitempty"` // it is one of the machines of the very first start, and never had a seat
 }
 
 // Grant gives (or, as a release, gives back) the lease that was asked for under a number.
@@ -331,7 +335,6 @@
 	Again   float64 // until something unanswered is sent again: 250
 	Ballot  float64 // until a ballot is tried again; over Lease and Slack: 900
 	Vacant  float64 // silence after which a newcomer may have a member's seat: 2000
-	Rest    float64 // silence after which a core of an even number does without a member: 4000
 	Lost    float64 // without a majority, after which an operator may have the core rebuilt: 10000
 	Window  int     // entries that may be under way: 8
 	Bytes   int     // of records after which to compact: 4 MiB
@@ -351,7 +354,6 @@
 	set(&c.Again, 250)
 	set(&c.Ballot, 900)
 	set(&c.Vacant, 2000)
-	set(&c.Rest, 4000)
 	set(&c.Lost, 10000)
 	if c.Window == 0 {
 		c.Window = 8
--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -56,7 +56,7 @@
 // beat tells the others about this machine.
 func (m *Machine) beat() {
 	b := Beat{View: m.view.No, Last: m.last(), Committed: m.base.Last, Whole: m.isWhole(), Filled: m.filled,
-		Round: max(m.round, m.promised.Round), Ask: m.askLease(), Life: m.life, Leaving: m.leaving}
+		Round: max(m.round, m.promised.Round), Ask: m.askLease(), Life: m.life, Leaving: m.leaving, First: m.extra}
 	for i, x := range m.view.Core {
 		if i < 64 && m.hearsAt(x) {
 			b.Hears |= 1 << i
@@ -142,7 +142,7 @@
 		m.commitAt(b.Committed)
 		return
 	}
-	if at >= 0 && !b.Filled && !b.Leaving && m.isWhole() && m.now-p.filled > 2*m.c.Again && m.live(from) && m.leading() == 0 {
+	if at >= 0 && !b.Leaving && m.stale(from, b) && m.isWhole() && m.now-p.filled > 2*m.c.Again && m.live(from) && m.leading() == 0 {
 		p.filled = m.now
 		m.send(from, Message{Fill: &Fill{View: m.view.No, Whole: m.log()}})
 	}
@@ -222,17 +222,14 @@
 		}
 	}
 	next := slices.Concat(old, rest, back)
-	core, join, epoch, removed := m.seats(next)
-	if join != nil {
-		next = append(slices.DeleteFunc(next, func(x Ident) bool { return x.Addr == join.Addr }), *join)
-	}
-	if !lost && len(back) == 0 && join == nil && epoch == m.view.Epoch {
+	v := m.seated(next)
+	if !lost && len(back) == 0 && v.Epoch == m.view.Epoch && slices.Equal(v.Core, m.view.Core) {
 		return View{}, false
 	}
-	if 2*len(next) <= len(core) || !slices.Contains(old, next[0]) {
+	if 2*len(v.Chain) <= len(v.Core) || !slices.Contains(old, v.Chain[0]) {
 		return View{}, false
 	}
-	return View{No: m.view.No + 1, Chain: next, Core: core, Epoch: epoch, Removed: removed}, true
+	return v, true
 }
 
 // heardByAll says whether all live members of the chain hear a machine of the core; one that only
@@ -433,6 +430,7 @@
 
 func (m *Machine) enterView(v View, whole bool) {
 	m.view, m.whole, m.filled, m.viewSince = v, whole, false, m.now
+	m.extra = m.extra && !m.votes()
 	m.promised, m.accepted = Ballot{}, nil
 	m.clearVolatile()
 	m.sync(Record{View: &ViewRecord{View: v, Whole: whole}})
