--- a/internal/cairn/turnover_test.go
+++ b/internal/cairn/turnover_test.go
@@ -72,9 +72,7 @@
 			w.replace(n, 50+w.turnover.Float64()*1500)
 		}
 	case 2:
-		next := w.join()
-		w.boot(next, false)
-		w.after(500+w.turnover.Float64()*4000, func() { w.end(n, func() { w.takeAway(n, next) }) })
+		w.withNotice(n, 500+w.turnover.Float64()*4000)
 	default:
 		w.end(n, func() { w.after(50+w.turnover.Float64()*1000, func() { w.boot(n, false) }) })
 	}
@@ -88,6 +86,19 @@
 	return next
 }
 
+// withNotice gives a machine its successor first, and has it end for good after a while.
+func (w *world) withNotice(n *node, after float64) {
+	next := w.join()
+	w.boot(next, false)
+	w.notices++
+	w.after(after, func() {
+		w.end(n, func() {
+			w.notices--
+			w.takeAway(n, next)
+		})
+	})
+}
+
 // join is a machine with an empty disk at an address that was never used. It counts as lost until it is whole.
 func (w *world) join() *node {
 	w.added++
@@ -111,7 +122,7 @@
 	if next.wiped {
 		delete(l, next) // the two count as one
 	}
-	if len(l) > w.tol || w.calmed {
+	if len(l) > w.tol || w.over {
 		w.boot(n, false)
 		return
 	}
@@ -123,7 +134,7 @@
 
 // end asks a process to end, and waits until it has, as long as it may.
 func (w *world) end(n *node, then func()) {
-	if !n.up || w.calmed {
+	if !n.up || w.over {
 		return
 	}
 	life, until := n.life, w.now+leaveMost
--- a/internal/cairn/world_test.go
+++ b/internal/cairn/world_test.go
@@ -33,6 +33,8 @@
 	decided   map[uint64]View
 	gone      map[string]bool // addresses that were taken away for good
 	turnover  *rand.Rand      // of replacements, restarts in order; nil for none
+	notices   int             // machines that are to end for good, and have not yet
+	over      bool            // nothing is replaced or restarted any more
 	added     int
 	seats     int // that there are to be
 	replaced  int
@@ -539,7 +541,7 @@
 
 func (w *world) calm(all bool) {
 	clear(w.cut)
-	w.loss, w.calmed = 0, true
+	w.loss, w.calmed, w.over = 0, true, true
 	down := 0
 	for _, n := range w.nodes {
 		n.frozen = min(n.frozen, w.now)
