--- a/internal/cairn/machine_test.go
+++ b/internal/cairn/machine_test.go
@@ -41,7 +41,7 @@
 
 func TestFirstStart(t *testing.T) {
 	m, rs := one(t, b1, faults{})
-	assert.DeepEqual(t, m.View(), View{No: 1, Epoch: 1, Chain: []Ident{a1, b1, c1}, Core: []Ident{a1, b1, c1}})
+	assert.DeepEqual(t, m.View(), View{No: 1, Epoch: 1, Seats: 3, Chain: []Ident{a1, b1, c1}, Core: []Ident{a1, b1, c1}})
 	assert.Equal(t, len(rs), 1)
 	again := New(Config{Self: Ident{Addr: "b:1"}, Seeds: []string{"x:1"}, Seed: 2}, rs, 5)
 	assert.Equal(t, again.Self(), b1)
--- a/internal/cairn/world_test.go
+++ b/internal/cairn/world_test.go
@@ -463,7 +463,7 @@
 	back := func(n *node, within float64) {
 		w.after(50+w.rng.Float64()*within, func() { w.boot(n, false) })
 	}
-	if w.turnover != nil && w.turnover.IntN(3) == 0 {
+	if w.turnover != nil && w.turnover.IntN(2) == 0 {
 		w.turn(w.nodes[w.turnover.IntN(len(w.nodes))])
 		return
 	}
