--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -49,6 +49,7 @@
 	crowdAfter   = 300.0 // milliseconds after its start from which members are told of
 	confirmEvery = 200 * time.Millisecond
 	gossipEvery  = 300 * time.Millisecond
+	guestKeep    = 3000.0 // milliseconds
 	wholeEvery   = 3000.0 // milliseconds between two whole pages, whatever is the same
 	wardenEvery  = 50 * time.Millisecond
 	rosterEvery  = 400 * time.Millisecond
@@ -73,15 +74,19 @@
 	peers     map[string]*traverse.Peer // the other bothies
 	zones     map[string]string         // theirs
 	seeds     []string
+	known     []string           // other bothies that gatekeepers may sign with
+	guests    map[string]float64 // when bothies outside the core last spoke
 	state     cairn.State
 	packed    []byte // the state's configuration, as it travels
 	parsed    *timetable.Timetable
 	view      cairn.View
 	asked     float64 // when the tail was last asked with success
+	blind     bool    // it was not, for long
 	core      []string
 	cores     []waymark.Core // all bothies known, and their mark
 	coresMark uint64
 	kept      []string // the electorate on the disk
+	keptEpoch uint64
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -116,17 +121,18 @@
 // New makes a bothy. It also stands for the duties named.
 func New(set *trailhead.Settings, log zerolog.Logger, duties ...string) *Bothy {
 	b := &Bothy{set: set, log: log, start: time.Now(), cairn: traverse.NewPeer(set.Inner(cairnDock)),
-		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64()}
+		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64(),
+		guests: map[string]float64{}}
 	self := set.Inner(bothyDock)
 	b.book = guestbook.New(self, rand.Uint64(), b.now(), lapse)
-	kept, first := recall(set.ArchiveDir)
+	kept, epoch, first := recall(set.ArchiveDir)
 	if first = first && set.FirstRun; first && set.ArchiveDir != "" {
 		// It must be there before the first voice is given: the next life may have to wait that out.
-		first = keep(set.ArchiveDir, nil) == nil
+		first = keep(set.ArchiveDir, nil, 0) == nil
 	}
-	b.kept = kept
+	b.kept, b.keptEpoch = kept, epoch
 	b.warden = warden.New(self, rand.Uint64(), b.now(), dutyLease, first, append([]string{dutyRoster, dutySlices}, duties...)...)
-	b.warden.Remember(kept)
+	b.warden.Remember(kept, epoch)
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.patience = callMost
@@ -154,7 +160,8 @@
 	b.electorate()
 }
 
-// electorate brings who votes and who is told to what the view and the seeds say.
+// electorate brings who votes and who is told to what the view and the seeds say. A bothy whose machine waits
+// for a seat in the core is told of sessions as long as it speaks: outside callers may ask it.
 func (b *Bothy) electorate() {
 	self := b.set.Inner(bothyDock)
 	var core []string
@@ -165,14 +172,27 @@
 	}
 	slices.Sort(core)
 	core = slices.Compact(core)
-	known := append(slices.Clone(core), b.seeds...)
-	for _, addr := range known {
-		if addr != self && b.peers[addr] == nil {
+	known := slices.Clone(core)
+	if b.view.No == 0 || b.blind { // the core may be, or have moved on to, what the seeds name
+		known = append(known, b.seeds...)
+	}
+	slices.Sort(known)
+	b.known = slices.DeleteFunc(slices.Compact(known), func(addr string) bool { return addr == self })
+	told := slices.Clone(b.known)
+	for addr, at := range b.guests {
+		if b.now()-at > guestKeep || slices.Contains(b.known, addr) {
+			delete(b.guests, addr)
+		} else {
+			told = append(told, addr)
+		}
+	}
+	for _, addr := range told {
+		if b.peers[addr] == nil {
 			b.peers[addr] = traverse.NewPeer(addr)
 		}
 	}
 	for addr, p := range b.peers {
-		if !slices.Contains(known, addr) {
+		if !slices.Contains(told, addr) {
 			p.Close()
 			delete(b.peers, addr)
 		}
@@ -273,6 +293,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Confirms++
+	if blind := err != nil && b.now()-b.asked > staleAfter; blind != b.blind {
+		b.blind = blind
+		b.electorate()
+	}
 	if err != nil {
 		b.counts.ConfirmsFailed++
 		return
@@ -296,7 +320,7 @@
 		b.asked = max(b.asked, asked)
 	}
 	if (got.View == nil && view == b.view.No || got.View != nil && got.View.No == b.view.No) && len(b.core) > 0 {
-		b.warden.Electorate(b.now(), asked, b.core, b.view.No, b.view.Forgot)
+		b.warden.Electorate(b.now(), asked, b.core, b.view.Epoch, b.view.Removed)
 	}
 }
 
@@ -379,6 +403,9 @@
 	all.Wait()
 	b.mu.Lock()
 	b.rolled()
+	if len(b.guests) > 0 {
+		b.electorate()
+	}
 	b.mu.Unlock()
 }
 
@@ -434,6 +461,12 @@
 func (b *Bothy) gossiped(ctx context.Context, g waymark.Gossip) (waymark.Heard, error) {
 	b.hear(g.From, g.Zone, g.Page)
 	b.mu.Lock()
+	if self := b.set.Inner(bothyDock); g.From != self && !slices.Contains(b.known, g.From) {
+		_, was := b.guests[g.From]
+		if b.guests[g.From] = b.now(); !was {
+			b.electorate()
+		}
+	}
 	p := b.peers[g.From]
 	h := waymark.Heard{Roster: b.roster.version, Life: b.life}
 	b.mu.Unlock()
