A late refusal proves nothing, and a call that is over is not sent

Four places held by luck or not at all: - A refusal without an id was taken for the request's that was due, also on a link that had carried others: a worker's second refusal of an earlier one had an unsafe request sent to another worker while the first ran it. - A request that a worker had refused could go out on the same link again; a late second copy of that refusal states the same id, with the same end. - A call between processes whose caller was told "unknown" (its time was over, or another call had ended the connection) stayed in the queue and was sent on the next connection, behind what its caller did next. - A link was used again behind a 101.

Change: a refusal without an id counts only where the link has carried nothing else; a link never carries a request a second time, and where a worker bears no more links one at rest makes room; a call that is over is dropped from the queue; a 101 ends its link.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -468,6 +468,7 @@
 		p.Reset()
 	case bare, length == 0, !p.answers && !chunked && length < 0:
 		p.state, m.Length = whole, 0
+		m.Close = m.Close || p.answers && m.Status == 101 // what comes behind it is no HTTP/1.1
 	case chunked:
 		p.state = inChunkSize
 	case p.tooLong(length):
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -56,6 +56,7 @@
 		"of HTTP/1.0":          {text: "GET / HTTP/1.0\r\n\r\n", want: []got{{Line: "GET /", Close: true}}},
 		"interim answer":       {text: "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny", answers: true, want: []got{{Line: "xx", Body: "y"}}},
 		"answer without body":  {text: "HTTP/1.1 204 N\r\n\r\n", answers: true, want: []got{{Line: "xx"}}},
+		"another protocol":     {text: "HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\n", answers: true, want: []got{{Line: "x", Close: true}}},
 		"length and chunks":    {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", want: []got{{Err: 400}}},
 		"two lengths":          {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", want: []got{{Err: 400}}},
 		"signed length":        {text: "POST / HTTP/1.1\r\n" + host + "Content-Length: +3\r\n\r\n", want: []got{{Err: 400}}},
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -15,6 +15,8 @@
 type Payload struct {
 	Head, Body []byte
 	Up         *upload // in the place of the body, where that flows
+
+	on []*server // links that have carried it
 }
 
 // Reader turns a worker's answer into an outcome.
@@ -28,8 +30,9 @@
 // execution at a time asks it.
 type Matcher interface {
 	// Mine tells whether m answers x, or states that it answers another request. Where
-	// neither holds it is nobody's, and x is taken for one that may have run.
-	Mine(x *gatekeeper.Execution, m *http1.Message) (mine, other bool)
+	// neither holds it is nobody's, and x is taken for one that may have run. only tells that
+	// x is all that the link has ever carried: nothing else can have been answered there.
+	Mine(x *gatekeeper.Execution, m *http1.Message, only bool) (mine, other bool)
 }
 
 // carrier carries executions to one worker, over links of one kind. Every execution
@@ -178,12 +181,12 @@
 	return w
 }
 
-// mine tells whether an answer is an execution's, or another request's.
-func (f *Fleet) mine(x *gatekeeper.Execution, m *http1.Message) (mine, other bool) {
+// mine tells whether an answer that a link brings is an execution's, or another request's.
+func (f *Fleet) mine(l *server, x *gatekeeper.Execution, m *http1.Message) (mine, other bool) {
 	if f.matcher == nil {
 		return true, false
 	}
-	mine, other = f.matcher.Mine(x, m)
+	mine, other = f.matcher.Mine(x, m, l.carried == 1)
 	return mine, other && !mine
 }
 
--- a/internal/link/large.go
+++ b/internal/link/large.go
@@ -368,7 +368,7 @@
 	if m.Length <= l.parser.Holds() && !l.parser.Full() && (m.Length >= 0 || now-l.headAt < holdAnswer) {
 		return
 	}
-	switch mine, other := l.fleet.mine(l.x, m); {
+	switch mine, other := l.fleet.mine(l, l.x, m); {
 	case other: // it is skipped at its end
 		l.parser.Piece = func([]byte) {}
 		return
--- a/internal/link/match_test.go
+++ b/internal/link/match_test.go
@@ -15,7 +15,7 @@
 // matching is a reader that tells whose an answer is by its X-Id.
 type matching struct{ modelReader }
 
-func (matching) Mine(x *gatekeeper.Execution, m *http1.Message) (mine, other bool) {
+func (matching) Mine(x *gatekeeper.Execution, m *http1.Message, only bool) (mine, other bool) {
 	id := m.Get("X-Id")
 	return string(id) == x.Request.Name, id != nil
 }
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -66,6 +66,7 @@
 	kept    bool    // it gave one
 	shed    bool    // the body of a failure was not held
 	skipped int     // answers to other requests
+	carried int     // executions
 
 	up     *upload // that flows to the worker
 	sent   int     // bytes of it
@@ -79,7 +80,7 @@
 }
 
 func (s *serial) execute(x *gatekeeper.Execution) {
-	if l := s.take(s.fleet.clock.Now()); l != nil {
+	if l := s.take(x, s.fleet.clock.Now()); l != nil {
 		l.start(x)
 		return
 	}
@@ -129,14 +130,16 @@
 // take is an idle link that can be used, the one used last of them. It guards against
 // what a worker sends behind its answer: on a link used again at once that would be
 // read as the answer to the next request. So a link rests a moment first, and one on
-// which something has come by then, be it bytes or its end, is closed.
-func (s *serial) take(now float64) *server {
+// which something has come by then, be it bytes or its end, is closed. A link that has
+// carried the request before is left to others: a late second copy of the refusal that it
+// had there states the same id, and would prove that it never runs while it does.
+func (s *serial) take(x *gatekeeper.Execution, now float64) *server {
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		if i >= len(s.idle) { // to close one may have had others taken
 			continue
 		}
 		l := s.idle[i]
-		if now-l.since < s.fleet.Settle {
+		if now-l.since < s.fleet.Settle || l.knows(x) {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
@@ -148,6 +151,11 @@
 	return nil
 }
 
+// knows tells whether the link has carried an execution's request before.
+func (l *server) knows(x *gatekeeper.Execution) bool {
+	return slices.Contains(x.Request.Payload.(*Payload).on, l)
+}
+
 // next is the execution that has waited longest.
 func (s *serial) next() *gatekeeper.Execution {
 	x := s.queue[0]
@@ -174,26 +182,39 @@
 
 func (s *serial) serve() {
 	f := s.fleet
-	for len(s.queue) > 0 {
-		l := s.take(f.clock.Now())
+	for i := 0; i < len(s.queue) && len(s.idle) > 0; {
+		x := s.queue[i]
+		l := s.take(x, f.clock.Now())
 		if l == nil {
-			break
+			i++
+			continue
 		}
-		l.start(s.next())
+		s.queue = slices.DeleteFunc(s.queue, func(o *gatekeeper.Execution) bool { return o == x })
+		l.start(x)
 	}
 	soon, now := 0, f.clock.Now()
+	settles := -1.0 // until the next link has rested
 	for _, l := range s.idle {
-		if now-l.since >= f.Settle-settleWait {
+		left := f.Settle - (now - l.since)
+		if left <= settleWait && !slices.ContainsFunc(s.queue, l.knows) {
 			soon++
 		}
+		if left > 0 && settles < 0 {
+			settles = left
+		}
 	}
-	if len(s.queue) > 0 && len(s.idle) > 0 && !s.settling {
+	if len(s.queue) > 0 && settles >= 0 && !s.settling {
 		s.settling = true
-		f.loop.after(f.Settle-(now-s.idle[0].since), func() {
+		f.loop.after(settles, func() {
 			s.settling = false
 			s.open()
 		})
 	}
+	if len(s.queue) > 0 && f.PerWorker > 0 && s.links >= f.PerWorker {
+		if i := slices.IndexFunc(s.idle, func(l *server) bool { return l.knows(s.queue[0]) }); i >= 0 {
+			s.idle[i].shut() // for one that may carry it
+		}
+	}
 	for s.openings+soon < len(s.queue) && (f.PerWorker == 0 || s.links < f.PerWorker) && f.room() {
 		s.openings++
 		f.openings++
@@ -285,6 +306,8 @@
 	l.parser.Reset()
 	l.x, x.Slot, l.headAt, l.up, l.shed = x, l, 0, nil, false
 	p := x.Request.Payload.(*Payload)
+	p.on = append(p.on, l)
+	l.carried++
 	l.parser.Bare = bytes.HasPrefix(p.Head, []byte("HEAD "))
 	flows := p.Up != nil
 	if flows {
@@ -383,7 +406,7 @@
 	if l.x == nil {
 		return false
 	}
-	mine, other := l.fleet.mine(l.x, l.parser.Message())
+	mine, other := l.fleet.mine(l, l.x, l.parser.Message())
 	if mine {
 		return false
 	}
@@ -434,7 +457,7 @@
 	l.ended()
 	mine := true
 	if x != nil {
-		mine, _ = l.fleet.mine(x, m)
+		mine, _ = l.fleet.mine(l, x, m)
 	}
 	switch {
 	case x == nil:
--- a/internal/switchback/front.go
+++ b/internal/switchback/front.go
@@ -251,13 +251,14 @@
 // Left implements link.Reader.
 func (f *front) Left() string { return headLeft }
 
-// Mine implements link.Matcher: a worker may send a second answer late, in the place of the
-// one that is due; the try's id tells them apart.
-func (f *front) Mine(x *gatekeeper.Execution, m *http1.Message) (mine, other bool) {
+// Mine implements link.Matcher: a worker may send a second answer late, in the place of the one
+// that is due; the try's id tells them apart. A refusal that states none is taken only where the
+// link has carried nothing else: it may be another request's second one, while this one runs.
+func (f *front) Mine(x *gatekeeper.Execution, m *http1.Message, only bool) (mine, other bool) {
 	id, ok := m.Single(headTry)
 	switch {
 	case ok:
-	case m.Count(headTry) == 0 && notRun(m): // a refusal need not say whose it is
+	case m.Count(headTry) == 0 && notRun(m) && only:
 		id = []byte(x.Request.Name)
 	default:
 		return false, false
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -446,12 +446,14 @@
 	return id, nil
 }
 
-// run writes what waits, and opens the connection for it.
+// run writes what waits, and opens the connection for it. A call whose caller has been told how it
+// ended is not written any more: it would be carried out behind what its caller did next.
 func (p *Peer) run() {
 	for o := range p.out {
-		p.mu.Lock()
-		c := p.conn
-		p.mu.Unlock()
+		c, over := p.toward(o.id)
+		if over {
+			continue
+		}
 		if c == nil {
 			if !p.redials.TryAcquirePermit() {
 				p.fail(o.id, "was not reached a moment ago")
@@ -463,6 +465,9 @@
 				continue
 			}
 			p.redials.RecordSuccess()
+			if _, over = p.toward(o.id); over {
+				continue
+			}
 		}
 		_ = c.SetWriteDeadline(time.Now().Add(writeMost))
 		if _, err := c.Write(o.bytes); err != nil {
@@ -473,6 +478,14 @@
 	}
 }
 
+// toward is the connection that a call would go by, nil for none, and whether it is over already.
+// What wants no answer never is.
+func (p *Peer) toward(id uint64) (c net.Conn, over bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn, id != 0 && p.waiting[id] == nil
+}
+
 // open opens a connection and waits for it, though not for one that is far away.
 func (p *Peer) open() net.Conn {
 	came := make(chan net.Conn, 1)
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -226,3 +226,42 @@
 	assert.NilError(t, err)
 	assert.Equal(t, a.N, 2)
 }
+
+// TestACallThatIsOverIsNotSent: its caller was told that nobody knows, and has gone on. Sent behind
+// that, it would undo what came after it.
+func TestACallThatIsOverIsNotSent(t *testing.T) {
+	came := make(chan int, 9)
+	_, p := serve(t, func(s *Server) {
+		Handle(s, func(_ context.Context, q ask) (answer, error) {
+			came <- q.N
+			return answer{q.N}, nil
+		})
+	})
+	dialled, goOn := make(chan bool, 9), make(chan bool)
+	p.near = time.Hour
+	p.dial = func(network, addr string, most time.Duration) (net.Conn, error) {
+		dialled <- true
+		<-goOn
+		return net.DialTimeout(network, addr, most)
+	}
+	over, cancel := context.WithCancel(t.Context())
+	ends := make(chan error, 2)
+	go func() { _, err := Call[ask, answer](over, p, ask{1}); ends <- err }()
+	<-dialled // the first waits for its connection, the second behind it
+	go func() { _, err := Call[ask, answer](over, p, ask{2}); ends <- err }()
+	for waits := 0; waits < 2; runtime.Gosched() {
+		p.mu.Lock()
+		waits = len(p.waiting)
+		p.mu.Unlock()
+	}
+	cancel()
+	for range 2 {
+		assert.Equal(t, KindOf(<-ends), Unknown)
+	}
+	close(goOn)
+	a, err := Call[ask, answer](t.Context(), p, ask{3})
+	assert.NilError(t, err)
+	assert.Equal(t, a.N, 3)
+	assert.Equal(t, <-came, 3)
+	assert.Equal(t, len(came), 0)
+}
