Snowline: widen by half of what is free; eight crossings and the pressure held again

Cause: at three times the load, refused clients that come back double each bin that is let in; the cut went two bins up at once (0.90 to 0.98 of what fits), 1.05 came in for 0.8 s, and each probe did it again.

A cut now widens by one bin or half of what is free, outside quick openings.

The bound is 8 again, with two more cases (three and four times, other seeds). Ruled out: easing the bound by the cause.

--- a/internal/snowline/line.go
+++ b/internal/snowline/line.go
@@ -127,6 +127,7 @@
 	quickMs    = 700.0   // between rises then, and that a wider cut must have fitted
 	quickMore  = 1.2     // at most than what is let in, each time
 	quickPart  = 0.4     // of what the pressure leaves free, squared
+	stepPart   = 0.5     // of what is free is let in at once: refused clients come back as many
 	slackTight = 1.03
 	slackLoose = 1.0
 	mostMore   = 2.0 // than what comes in is never said to fit
@@ -278,8 +279,11 @@
 		return
 	}
 	rate := slackLoose * v.rate
-	if v.quick { // in steps: with what was refused comes back what waits
+	// In steps: with what was refused comes back what waits.
+	if v.quick {
 		rate = min(rate, max(quickMore*in, in+rateLeast*load.Sum(), v.next(load)))
+	} else {
+		rate = min(rate, max(in+stepPart*(rate-in), v.next(load)))
 	}
 	wider := load.CutAt(rate)
 	if wider <= v.cut {
--- a/internal/snowline/snowline_test.go
+++ b/internal/snowline/snowline_test.go
@@ -231,7 +231,7 @@
 	w.way = append(w.way, message{w.now + 10 + 60*w.rng.Float64() + g.slow, do})
 }
 
-// return_ has clients that were refused come back once, 0.8 s later.
+// comeBack has clients that were refused come back once, 0.8 s later.
 func (w *world) comeBack(fresh Load) {
 	cut, refused := w.gates[0].post.Standing().Cut, Load{}
 	for bin, v := range fresh {
@@ -268,14 +268,22 @@
 	return true
 }
 
+// relieved tells that no gatekeeper is pressed.
+func (w *world) relieved(t *testing.T) {
+	t.Helper()
+	for i, g := range w.gates {
+		assert.Assert(t, g.pressure < pressed, "gatekeeper %d is pressed again at %v: %.2f", i, w.now, g.pressure)
+	}
+}
+
 // TestSteadyOverload: the first cut comes within a second of pressure everywhere; then most of
 // what fits is let in, no more than fits, and the level hardly moves.
 func TestSteadyOverload(t *testing.T) {
 	t.Parallel()
-	for i, load := range []float64{1.2, 1.5, 2, 2.5, 3, 1.2, 2, 3} {
+	for i, load := range []float64{1.2, 1.5, 2, 2.5, 3, 1.2, 2, 3, 3, 4} {
 		t.Run(fmt.Sprint(load, i), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(uint64(load*10), 6, 1)
+			w := newWorld(uint64(load*10)+uint64(i/8*100), 6, 1)
 			if i >= 5 { // clients that come back, and workers that are pressed before they are full
 				w.clients, w.came, w.shed = true, Load{}, Load{}
 			}
@@ -310,7 +318,7 @@
 				}
 			}
 			assert.Assert(t, sum/n > 0.82 && sum/n <= 1.01, "lets in %.2f of what fits", sum/n)
-			assert.Assert(t, swings <= 12, "%d crossings of what fits in two minutes", swings)
+			assert.Assert(t, swings <= 8, "%d crossings of what fits in two minutes", swings)
 			assert.Assert(t, len(w.changes) <= 40, "%d changes of level in two minutes", len(w.changes))
 		})
 	}
@@ -328,6 +336,7 @@
 	for range int(60e3 / step) {
 		w.run(step)
 		assert.Assert(t, w.refused == 0, "a second wave at %v", w.now)
+		w.relieved(t)
 	}
 	for _, g := range w.gates {
 		assert.Equal(t, g.post.Standing().Cut, policy.MarkOpen)
@@ -352,6 +361,9 @@
 			for i := range int(20e3 / step) {
 				w.run(step)
 				assert.Assert(t, w.refused == 0, "a second wave %v ms after the end", float64(i)*step)
+				if float64(i)*step >= 2e3 { // what was waiting at the end has gone
+					w.relieved(t)
+				}
 			}
 			assert.Equal(t, w.gates[0].post.Standing().Cut, policy.MarkOpen)
 			part := w.shed.Sum() / w.came.Sum()
