--- /dev/null
+++ b/internal/timetable/scale_bench_test.go
@@ -0,0 +1,58 @@
+package timetable
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// packed is a body's length on its way, as waymark deflates it.
+func packed(b *testing.B, raw []byte) float64 {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, 5)
+	assert.NilError(b, err)
+	_, _ = w.Write(raw)
+	assert.NilError(b, w.Close())
+	return float64(out.Len())
+}
+
+// BenchmarkScale is what a configuration takes by routes and by tenants, for docs/CAPACITY.md:
+// held is the table without the document, packed what travels.
+//
+//	go test ./internal/timetable -run xxx -bench Scale -benchtime 1x
+func BenchmarkScale(b *testing.B) {
+	live := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, c := range []struct{ routes, tenants int }{
+		{1000, 77}, {10_000, 77}, {50_000, 77}, {100_000, 77}, {320_000, 77},
+		{100, 1000}, {100, 10_000}, {100, 100_000}, {100, 300_000}, {100, 1_000_000},
+	} {
+		b.Run(fmt.Sprintf("%d-routes/%d-tenants", c.routes, c.tenants), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				base := live()
+				raw := bigTable(c.routes, c.tenants)
+				b.StartTimer()
+				t, err := Parse(raw)
+				b.StopTimer()
+				assert.NilError(b, err)
+				b.ReportMetric(float64(len(raw)), "bodyB")
+				b.ReportMetric(packed(b, raw), "packedB")
+				t.Raw, raw = nil, nil
+				held := live() - base
+				runtime.KeepAlive(t)
+				b.ReportMetric(held, "heldB")
+				b.StartTimer()
+			}
+		})
+	}
+}
