Tell an order that comes again from another under its number

Cause: a PutConfiguration whose edition is not above the held one was acknowledged whatever its body, so two operators could both be confirmed under one number; an order for copies that came again after a newer one was refused.

Ruled out: judging at the commit (each refused body goes down the chain), comparing with the body in force only (an earlier order can't be told from another), acknowledging repeats at any member (one that is cut off would say 200).

The head judges by what is committed: the same goes through the chain as an empty entry, another is a definite Conflict (409), and while the number is under way another waits.

--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -38,6 +38,7 @@
 	traverse.NotFound:    {http.StatusNotFound, ""},
 	traverse.Busy:        {http.StatusServiceUnavailable, "0.5"},
 	traverse.Stale:       {http.StatusServiceUnavailable, "0.3"},
+	traverse.Conflict:    {http.StatusConflict, ""},
 }
 
 // doors is what outside callers find at which address.
@@ -93,9 +94,12 @@
 		w.Header().Set("Retry-After", a.again)
 	}
 	b.mu.Lock()
-	if a.status < 500 {
+	switch {
+	case a.status == http.StatusConflict:
+		b.counts.Conflicts++
+	case a.status < 500:
 		b.counts.Refused++
-	} else {
+	default:
 		b.counts.Failed++
 	}
 	b.mu.Unlock()
@@ -115,6 +119,9 @@
 		return
 	}
 	if err := b.enter(r.Context(), cairn.Change{Kind: cairn.PutConfiguration, Edition: t.Edition, Body: body}); err != nil {
+		if traverse.KindOf(err) == traverse.Conflict {
+			b.log.Warn().Str("edition", timetable.FormatEdition(t.Edition)).Msg("another configuration under a committed edition is refused")
+		}
 		b.fail(w, err)
 		return
 	}
--- a/internal/bothy/outside_test.go
+++ b/internal/bothy/outside_test.go
@@ -100,7 +100,7 @@
 		again  bool
 	}{
 		traverse.Internal: {500, false}, traverse.Unavailable: {503, true}, traverse.Unknown: {503, true}, traverse.Invalid: {400, false},
-		traverse.NotFound: {404, false}, traverse.Busy: {503, true}, traverse.Stale: {503, true},
+		traverse.NotFound: {404, false}, traverse.Busy: {503, true}, traverse.Stale: {503, true}, traverse.Conflict: {409, false},
 	} {
 		s := open(t)
 		s.refuses = traverse.Errorf(kind, "so it is")
@@ -116,7 +116,7 @@
 			assert.Assert(t, strings.Contains(said["error"], "so it is"))
 		}
 	}
-	assert.Equal(t, len(answers), 7)
+	assert.Equal(t, len(answers), 8)
 	for kind := range answers {
 		assert.Assert(t, kind == traverse.Internal || kind.String() != traverse.Internal.String(), "%d", kind)
 	}
--- a/internal/bothy/shadow.go
+++ b/internal/bothy/shadow.go
@@ -36,7 +36,8 @@
 }
 
 // putShadow takes an order. It is checked whole before it comes near the chain, and acknowledged
-// only where the tail then holds it: of two orders with one number only one can be in force.
+// only where the tail then holds it or has held it: of two orders with one number only one can be in force,
+// and one that comes again after its answer was lost may have been overtaken.
 func (b *Bothy) putShadow(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, shadowMost))
 	if err != nil {
@@ -53,14 +54,18 @@
 		b.fail(w, traverse.Errorf(traverse.Invalid, "%s", faultText(faults)))
 		return
 	}
-	held, err := b.heldShadow(r.Context())
-	if err == nil && (held.No < o.Number || string(held.Body) == string(body)) {
-		held, err = b.enterShadow(r.Context(), o.Number, body)
+	state, err := b.heldState(r.Context())
+	held := state.Orders[OrderShadow]
+	took := err == nil && state.Took(OrderShadow, o.Number, body)
+	if err == nil && !took && held.No < o.Number {
+		state, err = b.enterShadow(r.Context(), o.Number, body)
+		held = state.Orders[OrderShadow]
+		took = err == nil && state.Took(OrderShadow, o.Number, body)
 	}
 	switch {
 	case err != nil:
 		b.fail(w, err)
-	case held.No != o.Number || string(held.Body) != string(body):
+	case !took:
 		b.fail(w, traverse.Errorf(traverse.Invalid, "%v", o.After(&spur.Order{Number: max(held.No, o.Number)})))
 	default:
 		b.log.Info().Uint64("number", o.Number).Msg("an operator's order for copies")
@@ -76,23 +81,29 @@
 	return strings.Join(text, "; ")
 }
 
-// enterShadow brings an order into the chain, and tells which one the tail holds then.
-func (b *Bothy) enterShadow(ctx context.Context, number uint64, body []byte) (cairn.Order, error) {
+// enterShadow brings an order into the chain, and tells what the tail holds then.
+func (b *Bothy) enterShadow(ctx context.Context, number uint64, body []byte) (cairn.State, error) {
 	if err := b.enter(ctx, cairn.Change{Kind: cairn.SetOrder, Name: OrderShadow, No: number, Body: body}); err != nil {
-		return cairn.Order{}, err
+		return cairn.State{}, err
 	}
-	return b.heldShadow(ctx)
+	return b.heldState(ctx)
 }
 
-// heldShadow is the order in force, by the tail's word.
-func (b *Bothy) heldShadow(ctx context.Context) (o cairn.Order, err error) {
+// heldState is what is committed, by the tail's word.
+func (b *Bothy) heldState(ctx context.Context) (s cairn.State, err error) {
 	ctx, cancel := context.WithTimeout(ctx, b.patience)
 	defer cancel()
 	got, err := traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{})
 	if err == nil && got.State != nil {
-		o = got.State.Orders[OrderShadow]
+		s = *got.State
 	}
-	return o, err
+	return s, err
+}
+
+// heldShadow is the order in force, by the tail's word.
+func (b *Bothy) heldShadow(ctx context.Context) (cairn.Order, error) {
+	s, err := b.heldState(ctx)
+	return s.Orders[OrderShadow], err
 }
 
 func (b *Bothy) getShadow(w http.ResponseWriter, r *http.Request) {
@@ -125,7 +136,8 @@
 			return
 		}
 		no := held.No + 1
-		if _, err = b.enterShadow(r.Context(), no, fmt.Appendf(nil, `{"number":%d,"stopped":true}`, no)); err != nil {
+		_, err = b.enterShadow(r.Context(), no, fmt.Appendf(nil, `{"number":%d,"stopped":true}`, no))
+		if err != nil && traverse.KindOf(err) != traverse.Conflict { // then another order has the number
 			b.fail(w, err)
 			return
 		}
--- a/internal/bothy/shadow_test.go
+++ b/internal/bothy/shadow_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/zeebo/xxh3"
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
@@ -126,3 +127,24 @@
 	a = s.answer(all)
 	assert.Assert(t, a.Seats == nil && a.SeatsNow == all.Seats, "the mark comes again, the list does not")
 }
+
+// TestAnOvertakenOrderIsAcknowledgedAgain: its answer was lost, and a newer one has come in between, before it
+// or while it was on its way.
+func TestAnOvertakenOrderIsAcknowledgedAgain(t *testing.T) {
+	s := open(t)
+	three, four := copies(3, "10.0.0.9:80"), copies(4, "10.0.0.9:80")
+	id := func(no uint64, body string) cairn.Identity {
+		return cairn.Identity{No: no, Digest: xxh3.Hash128([]byte(body)).Bytes()}
+	}
+	held := s.chained(cairn.Order{No: 4, Body: []byte(four), Past: []cairn.Identity{id(3, three), id(4, four)}})
+	put := func(body string) int {
+		return s.ask("control", "PUT", "/shadow", strings.NewReader(body)).Code
+	}
+	assert.Equal(t, put(three), 200)
+	assert.Equal(t, put(copies(3, "10.0.0.8:80")), 400, "another under that number")
+	assert.Equal(t, put(copies(2, "10.0.0.8:80")), 400, "one that never held")
+	assert.Equal(t, len(s.entered), 0)
+	s.refuses = traverse.Errorf(traverse.Conflict, "another was first")
+	assert.Equal(t, put(copies(5, "10.0.0.8:80")), 409)
+	assert.Equal(t, held.No, uint64(4))
+}
--- a/internal/cairn/chain.go
+++ b/internal/cairn/chain.go
@@ -289,6 +289,7 @@
 	c := e.Change
 	switch c.Kind {
 	case PutConfiguration:
+		s.Past = remember(s.past(), c)
 		if c.Edition > s.Edition {
 			s.Edition, s.Body = c.Edition, c.Body
 		}
@@ -309,7 +310,7 @@
 	case SetOrder:
 		if o, ok := s.Orders[c.Name]; !ok || c.No > o.No {
 			s.Orders = cloned(s.Orders)
-			s.Orders[c.Name] = Order{No: c.No, Body: c.Body}
+			s.Orders[c.Name] = Order{No: c.No, Body: c.Body, Past: remember(o.past(), c)}
 		}
 	}
 	return s
@@ -392,12 +393,21 @@
 }
 
 // enter takes a change at the head. One that is under way already gets another caller, not another
-// entry: callers send again, and bodies are large.
+// entry: callers send again, and bodies are large. An order whose number is committed is judged by the identity
+// that is committed under it: the same is confirmed through the chain once more, another is refused. While the
+// number is under way only, another order waits: which of them will be committed is not known yet.
 func (m *Machine) enter(from Ident, e Enter) {
-	if m.place() != 0 || m.last().View != m.view.No || e.Change.Kind == OpenView {
+	if m.place() != 0 || m.last().View != m.view.No || e.Change.Kind == OpenView || e.Change.Kind == Repeat {
 		return
 	}
 	c := caller{from, e.ID, e.Life}
+	switch m.base.judge(e.Change) {
+	case another:
+		m.send(from, Message{Entered: &Entered{ID: e.ID, Life: e.Life, Refused: true}})
+		return
+	case repeated:
+		e.Change = Change{Kind: Repeat, Edition: e.Change.Edition, Name: e.Change.Name, No: e.Change.No}
+	}
 	touched := m.base.Touched[e.Change.Zone]
 	for _, t := range m.tail {
 		if e.Change.zoned() && t.Change.zoned() && t.Change.Zone == e.Change.Zone {
@@ -413,6 +423,9 @@
 			m.waiting[t.Stamp] = append(w, c)
 			return
 		}
+		if t.Change.inTheWayOf(e.Change) {
+			return
+		}
 	}
 	if e.Change.zoned() && e.After.less(touched) && !m.faults.lateOrders {
 		m.send(from, Message{Entered: &Entered{ID: e.ID, Life: e.Life, Stale: m.last()}})
@@ -443,7 +456,11 @@
 			}
 			return false
 		}
-		m.out.Done = append(m.out.Done, Result{ID: s.ID, Outcome: OK})
+		o := OK
+		if e.Refused {
+			o = Refused
+		}
+		m.out.Done = append(m.out.Done, Result{ID: s.ID, Outcome: o})
 		return true
 	})
 }
@@ -456,6 +473,7 @@
 	a := &ConfirmAnswer{ID: c.ID, Life: c.Life, At: m.base.Last}
 	if !slices.Contains(m.view.Chain, from) {
 		a.State = m.State()
+		a.State.Past = nil // the head judges by them, nobody else
 	}
 	m.send(from, Message{ConfirmAnswer: a})
 }
--- a/internal/cairn/types.go
+++ b/internal/cairn/types.go
@@ -25,10 +25,12 @@
 	View uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Order is an operator's order that is kept by name; the highest number holds.
+// Order is an operator's order that is kept by name; the highest number holds. Past is the identities of
+// those that held, this one among them.
 type Order struct {
 	No   uint64
 	Body []byte
+	Past []Identity `cbor:",omitempty"`
 }
 
 // State is all that the chain keeps. It is never changed in place once it has been handed out.
@@ -39,6 +41,8 @@
 	Evacuated map[string]uint64 // zone to the number of the change that emptied it
 	Touched   map[string]Stamp  // zone to the last change that emptied it or took it back
 	Orders    map[string]Order
+	// Past is the identities of configurations that were committed, by their editions upwards, in force or not.
+	Past []Identity `cbor:",omitempty"`
 }
 
 // ChangeKind is what a change does.
@@ -55,6 +59,9 @@
 	TakeBack
 	// SetOrder keeps an order by name if its number is above the one kept.
 	SetOrder
+	// Repeat stands for an order that is committed already and has come again. It does nothing: the head
+	// alone makes it, and that it is committed shows that the head still leads.
+	Repeat
 )
 
 // Change is what somebody wants done to the state.
@@ -221,11 +228,13 @@
 }
 
 // Entered tells that the change is committed; or, where Stale is set, that the zone was changed
-// meanwhile, and after what the change must come.
+// meanwhile, and after what the change must come; or, where Refused is set, that another order is committed
+// under its number, so that it never will be.
 type Entered struct {
-	ID    uint64 `cbor:"1,keyasint,omitempty"`
-	Life  uint64 `cbor:"2,keyasint,omitempty"`
-	Stale Stamp  `cbor:"3,keyasint,omitempty"`
+	ID      uint64 `cbor:"1,keyasint,omitempty"`
+	Life    uint64 `cbor:"2,keyasint,omitempty"`
+	Stale   Stamp  `cbor:"3,keyasint,omitempty"`
+	Refused bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // Confirm asks the tail what is committed now.
@@ -284,6 +293,8 @@
 	Unavailable
 	// Unknown : the change may be in force, now or later, or never.
 	Unknown
+	// Refused : another order is committed under the number. The change is not in force and never will be.
+	Refused
 )
 
 // Result answers a Submit or an Ask by its ID.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -308,6 +308,8 @@
 			return r, nil
 		case cairn.Unavailable:
 			return r, traverse.Errorf(traverse.Unavailable, "the chain takes nothing now")
+		case cairn.Refused:
+			return r, traverse.Errorf(traverse.Conflict, "another order is committed under this number")
 		}
 		return r, traverse.Errorf(traverse.Unknown, "the chain did not answer in time")
 	case <-late.C:
@@ -338,12 +340,19 @@
 	if r.State != nil {
 		c.Last = r.State.Last
 		if r.State.Last.Seq > q.Have.Seq {
-			c.State = r.State
+			c.State = told(r.State)
 		}
 	}
 	return c, nil
 }
 
+// told is a state for who asks: the identities of configurations are the head's to judge by.
+func told(s *cairn.State) *cairn.State {
+	out := *s
+	out.Past = nil
+	return &out
+}
+
 // forget has the core forget a machine that is gone for good.
 func (s *Store) forget(ctx context.Context, q waymark.Forget) (waymark.Forgotten, error) {
 	id := s.lastID.Add(1)
@@ -378,11 +387,11 @@
 	r, err := s.put(soon, e)
 	cancel()
 	if err == nil {
-		return waymark.Confirmed{View: newerView(r.view, 0), Last: r.State.Last, State: r.State}, nil
+		return waymark.Confirmed{View: newerView(r.view, 0), Last: r.State.Last, State: told(r.State)}, nil
 	}
 	got := make(chan waymark.Confirmed, 1)
 	look := event{look: func() {
-		got <- waymark.Confirmed{View: newerView(s.machine.View(), 0), State: s.machine.State(), Recalled: true}
+		got <- waymark.Confirmed{View: newerView(s.machine.View(), 0), State: told(s.machine.State()), Recalled: true}
 	}}
 	select {
 	case s.events <- look:
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -36,9 +36,10 @@
 	NotFound                // what it names does not exist
 	Busy                    // too much is under way
 	Stale                   // who was asked is behind and says so
+	Conflict                // another order has the number: it was not done and never will be
 )
 
-var kindNames = [...]string{"internal", "unavailable", "unknown", "invalid", "not found", "busy", "stale"}
+var kindNames = [...]string{"internal", "unavailable", "unknown", "invalid", "not found", "busy", "stale", "conflict"}
 
 // String is the kind's name.
 func (k Kind) String() string {
