--- a/internal/guestbook/guestbook.go
+++ b/internal/guestbook/guestbook.go
@@ -21,6 +21,8 @@
 	keepMs = 30_000
 	// partingMs is how long a page repeats that a guest left, for pages that get lost.
 	partingMs = 5000
+	// driftPart is by how much of the time two clocks may run apart.
+	driftPart = 0.001
 )
 
 // Guest is what a gatekeeper says of itself when it signs.
@@ -52,6 +54,9 @@
 	Serial   uint64    `cbor:"3,keyasint,omitempty"` // rises within that life
 	Sessions []Session `cbor:"4,keyasint,omitempty"`
 	Briefs   []Brief   `cbor:"5,keyasint,omitempty"` // of sessions whose guests were told before
+	// At is when it was made, by the teller's clock and never 0 then. A page that lay in a process that stood
+	// still says how old its sessions were then; against other pages' times that shows.
+	At float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Brief is a session whose guest the hearer knows as it is.
@@ -106,6 +111,21 @@
 	life, serial uint64
 	at           float64
 	dead         map[uint64]float64
+	ahead        float64 // how far our clock is ahead of its, by the page that was fastest here
+	timed        bool
+}
+
+// late is how much longer than others a page was on its way.
+func (t *teller) late(now, at float64) float64 {
+	if at == 0 {
+		return 0
+	}
+	if ahead := now - at; !t.timed {
+		t.ahead, t.timed = ahead, true
+	} else {
+		t.ahead = min(ahead, t.ahead+driftPart*(now-t.at))
+	}
+	return now - at - t.ahead
 }
 
 // Book is one bothy's view of all sessions. It isn't safe for use by several goroutines.
@@ -156,7 +176,7 @@
 func (b *Book) Tell(now float64) Page {
 	b.sweep(now)
 	b.serial++
-	p := Page{From: b.self, Life: b.life, Serial: b.serial}
+	p := Page{From: b.self, Life: b.life, Serial: b.serial, At: math.Round(now) + 1}
 	for _, name := range slices.Sorted(maps.Keys(b.own)) {
 		s := b.own[name]
 		p.Sessions = append(p.Sessions, Session{Guest: s.guest, AgeMs: max(0, now-s.at), Gone: s.gone})
@@ -185,11 +205,12 @@
 		}
 		delete(t.dead, p.Life)
 		t.dead[t.life] = now
-		t.life = p.Life
+		t.life, t.timed = p.Life, false
 	}
+	late := t.late(now, p.At)
 	t.serial, t.at = p.Serial, now
 	for _, s := range p.Sessions {
-		b.note(now, now-max(0, s.AgeMs), s.Guest, s.Gone)
+		b.note(now, now-late-max(0, s.AgeMs), s.Guest, s.Gone)
 	}
 	if len(p.Briefs) == 0 {
 		return
@@ -202,7 +223,7 @@
 		if e := lives[s.Life]; e != nil { // else a whole page will tell
 			g := e.guest
 			g.Turn = s.Turn
-			b.note(now, now-max(0, s.AgeMs), g, false)
+			b.note(now, now-late-max(0, s.AgeMs), g, false)
 		}
 	}
 }
@@ -223,7 +244,7 @@
 // Brief is the page for who has heard a whole one under the same mark: sessions that stand.
 func (b *Book) Brief(now float64) Page {
 	b.serial++
-	p := Page{From: b.self, Life: b.life, Serial: b.serial}
+	p := Page{From: b.self, Life: b.life, Serial: b.serial, At: math.Round(now) + 1}
 	for _, name := range slices.Sorted(maps.Keys(b.own)) {
 		if s := b.own[name]; !s.gone && now-s.at <= b.lapse {
 			p.Briefs = append(p.Briefs, Brief{Life: s.guest.Life, Turn: s.guest.Turn, AgeMs: math.Round(max(0, now-s.at))})
--- a/internal/guestbook/guestbook_test.go
+++ b/internal/guestbook/guestbook_test.go
@@ -409,3 +409,37 @@
 		}
 	}
 }
+
+// TestAPageThatStoodStill: a bothy that freezes between making a page and sending it must not have
+// guests that have died since look alive elsewhere. Clocks that run apart, and pages that are all as
+// slow, make no guest old.
+func TestAPageThatStoodStill(t *testing.T) {
+	const skew, slow = 5_000_000, 55
+	teller, hearer := New("b1", 1, skew, 0), New("b2", 2, 0, 0)
+	hear := func(made, at float64) {
+		hearer.Hear(at, teller.Tell(made+skew))
+	}
+	teller.Sign(skew, guest("a", 1, 1))
+	hear(0, slow)
+	teller.Sign(skew+500, guest("a", 1, 2))
+	hear(600, 600+slow)
+	assert.Equal(t, len(hearer.Members(700).Guests), 1)
+	teller.Sign(skew+1000, guest("a", 1, 3))
+	for _, page := range []Page{teller.Tell(skew + 1100), teller.Brief(skew + 1100)} { // made, and sent after 20 s
+		hearer.Hear(21_100, page)
+		assert.Equal(t, len(hearer.Members(21_100).Guests), 0)
+	}
+	teller.Sign(skew+21_200, guest("a", 1, 4)) // it lives
+	hear(21_300, 21_300+slow)
+	assert.Equal(t, len(hearer.Members(21_400).Guests), 1)
+
+	// The teller's clock loses half a millisecond a second: over hours nothing of that is taken for age.
+	turn := uint64(5)
+	for now := 22_000.0; now < 6*3600e3; now += 1000 {
+		made := now * 0.9995
+		turn++
+		teller.Sign(skew+made, guest("a", 1, turn))
+		hear(made, now+slow)
+		assert.Equal(t, len(hearer.Members(now+slow+1000).Guests), 1, "at %v", now)
+	}
+}
