--- a/internal/bothy/outside_test.go
+++ b/internal/bothy/outside_test.go
@@ -100,7 +100,7 @@
 		again  bool
 	}{
 		traverse.Internal: {500, false}, traverse.Unavailable: {503, true}, traverse.Unknown: {503, true}, traverse.Invalid: {400, false},
-		traverse.NotFound: {404, false}, traverse.Busy: {503, true}, traverse.Stale: {503, true},
+		traverse.NotFound: {404, false}, traverse.Busy: {503, true}, traverse.Stale: {503, true}, traverse.Conflict: {409, false},
 	} {
 		s := open(t)
 		s.refuses = traverse.Errorf(kind, "so it is")
@@ -116,7 +116,7 @@
 			assert.Assert(t, strings.Contains(said["error"], "so it is"))
 		}
 	}
-	assert.Equal(t, len(answers), 7)
+	assert.Equal(t, len(answers), 8)
 	for kind := range answers {
 		assert.Assert(t, kind == traverse.Internal || kind.String() != traverse.Internal.String(), "%d", kind)
 	}
@@ -305,7 +305,7 @@
 	} {
 		s := open(t)
 		asked := s.platform(c.pages)
-		got, err := s.list(t.Context())
+		got, _, err := s.list(t.Context())
 		if c.fault != "" {
 			assert.ErrorContains(t, err, c.fault, c.name)
 			assert.Assert(t, got == nil, c.name)
