--- a/internal/forecast/play.go
+++ b/internal/forecast/play.go
@@ -30,7 +30,7 @@
 	brokenRule = regexp.MustCompile(`([A-Z]+) ([0-9]+)`)
 	dayLine    = regexp.MustCompile(`(?m)^day +own/srv +score +worth.*\n(\S+) +\S+ +[-0-9.]+ +([-0-9.]+) .*$`)
 	otherLine  = regexp.MustCompile(`(?m)^(?i:fault|gate|given up|not played)\b.*$`)
-	exitsLine  = regexp.MustCompile(`(?m)^ +-+[0-9.]+ +([0-9.]+) exits of its own`)
+	exitsText  = regexp.MustCompile(`([0-9.]+) exits of its own`)
 )
 
 // judge reads the bench's report.
@@ -52,8 +52,10 @@
 		v.other = m
 	}
 	v.missed = strings.Count(text, "\n  missed: ")
-	if m := exitsLine.FindStringSubmatch(text); m != nil {
-		v.exits, _ = strconv.ParseFloat(m[1], 64)
+	// The table of prices leaves out those with trouble on their machine; the day's line has all.
+	for _, m := range exitsText.FindAllStringSubmatch(text, -1) {
+		n, _ := strconv.ParseFloat(m[1], 64)
+		v.exits = max(v.exits, n)
 	}
 	return v
 }
--- a/internal/forecast/play_test.go
+++ b/internal/forecast/play_test.go
@@ -12,7 +12,7 @@
 
 const (
 	heading  = "day                  own/srv  score  worth served refused failed  weakest part\n"
-	holds    = heading + "core-1                 14/34   0.89  0.894  0.983   0.002  0.000  worst class 0.95; prices 0.086\n\n  -0.0000  0.0 exits of its own\n"
+	holds    = heading + "core-1                 14/34   0.89  0.894  0.983   0.002  0.000  worst class 0.95; prices 0.086; 27 exits of its own\n\n  -0.0000  0.0 exits of its own\n"
 	breaking = heading + "core-2                 14/34   0.00 -0.024  0.545   0.429  0.005  worst windows 0.00  BROKEN: CONFIG 1, RECOVER 1 (else 0.24)\n" +
 		"rules broken: CONFIG 1, RECOVER 12\nRECOVER at 63.0 s: 0 of 608 requests were served\n\n  -0.0200  7.0 exits of its own\n  missed: config version 10, was never acked\n"
 )
@@ -20,7 +20,7 @@
 // TestJudge: the report is read as it is; what can't be read is no verdict.
 func TestJudge(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
-		{holds, "holds; worth 0.894"},
+		{holds, "holds; worth 0.894; 27 exits"},
 		{breaking, "CONFIG 1, RECOVER 12; worth -0.024; 1 orders missed; 7 exits"},
 		{"no such site\n", "NOT PLAYED"},
 		{"", "NOT PLAYED"},
@@ -51,8 +51,8 @@
 	assert.Equal(t, unplayed, 1)
 	got := regexp.MustCompile(`\(\d+ s\)`).ReplaceAllString(out.String(), "(s)")
 	got = regexp.MustCompile(`NOT PLAYED: .*: exit`).ReplaceAllString(got, "NOT PLAYED: exit")
-	assert.Equal(t, got, "a.toml: holds; worth 0.894 (s)\nb.toml: CONFIG 1, RECOVER 12; worth -0.024; 1 orders missed; 7 exits (s)\n"+
-		"c.toml: holds; worth 0.894 (s)\nd.toml: NOT PLAYED: exit status 2 (s)\n4 days, 1 broken, 1 not played\n")
+	assert.Equal(t, got, "a.toml: holds; worth 0.894; 27 exits (s)\nb.toml: CONFIG 1, RECOVER 12; worth -0.024; 1 orders missed; 7 exits (s)\n"+
+		"c.toml: holds; worth 0.894; 27 exits (s)\nd.toml: NOT PLAYED: exit status 2 (s)\n4 days, 1 broken, 1 not played\n")
 	text, err := os.ReadFile(filepath.Join(logs, "b.txt"))
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), breaking)
