--- a/internal/cellar/cellar.go
+++ b/internal/cellar/cellar.go
@@ -28,6 +28,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"math"
 	"os"
 	"path/filepath"
@@ -56,6 +57,10 @@
 // a second sync can succeed without having written what the first could not.
 var ErrStopped = errors.New("cellar: the journal has stopped")
 
+// ErrKept says that Replace has failed before the new generation had its name: the one before it
+// holds, and the journal goes on.
+var ErrKept = errors.New("cellar: the records before are kept")
+
 // ErrDamaged says that bytes which had been synced are not what was written. Nothing is cut:
 // whole entries behind them would be lost.
 type ErrDamaged struct {
@@ -119,7 +124,7 @@
 	var records [][]byte
 	if j.gen == 0 {
 		if err = j.tidy(mine); err == nil {
-			err = j.begin(nil)
+			_, err = j.begin(nil)
 		}
 	} else if records, err = j.load(); err == nil {
 		err = j.tidy(mine)
@@ -206,7 +211,8 @@
 }
 
 // Replace makes the journal hold exactly these records. If it is interrupted, either these
-// or those before are there. Until it is over, the disk holds both.
+// or those before are there. Until it is over, the disk holds both; where there is no room for
+// that, the error is ErrKept, and what was written for it is taken away again.
 func (j *Journal) Replace(records [][]byte) error {
 	if j.err != nil {
 		return j.err
@@ -217,7 +223,9 @@
 		}
 	}
 	old, oldPath := j.log, j.path()
-	if err := j.begin(records); err != nil {
+	if named, err := j.begin(records); err != nil && !named {
+		return fmt.Errorf("%w: %w", ErrKept, err)
+	} else if err != nil {
 		return j.stop(err)
 	}
 	if err := errors.Join(old.Close(), j.remove(oldPath)); err != nil {
@@ -255,62 +263,72 @@
 		DirPerms: 0o700, FilePerms: 0o600}
 }
 
-// begin writes the generation after the present one and makes it last.
-func (j *Journal) begin(records [][]byte) error {
+// begin writes the generation after the present one and makes it last. Where it fails before the
+// new one may have its name, nothing is left of that.
+func (j *Journal) begin(records [][]byte) (named bool, err error) {
 	gen := j.gen + 1
 	path := filepath.Join(j.dir, base(gen))
-	if err := j.folders.Make(path + passing); err != nil {
+	next := Journal{folders: j.folders, dir: j.dir, segment: j.segment, gen: gen, index: 1, batch: &wal.Batch{}}
+	if err := next.write(path+passing, records); err != nil {
+		_ = j.remove(path + passing) // otherwise the next one, or the next Open, takes it away
+		return false, err
+	}
+	if err := j.folders.Rename(path+passing, path); err != nil {
+		return true, err
+	}
+	if err := j.folders.Sync(j.dir); err != nil {
+		return true, err
+	}
+	if next.log, err = wal.Open(path, j.options(false)); err != nil {
+		return true, err
+	}
+	next.buf, next.batch = nil, &wal.Batch{}
+	*j = next
+	return true, nil
+}
+
+// write writes a generation that has no name yet, and makes its files last.
+func (j *Journal) write(path string, records [][]byte) error {
+	if err := j.remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) { // of one that could not be taken away
+		return err
+	}
+	if err := j.folders.Make(path); err != nil {
 		return err
 	}
 	// One sync at the end is enough: until the folder has its name nobody reads it.
-	log, err := wal.Open(path+passing, j.options(true))
+	log, err := wal.Open(path, j.options(true))
 	if err != nil {
 		return err
 	}
-	next := Journal{folders: j.folders, dir: j.dir, segment: j.segment, gen: gen, index: 1, batch: &wal.Batch{}}
 	pending := 0
 	add := func(seed uint64, records ...[]byte) error {
-		buf, err := appendFrame(next.buf[:0], seed, next.index, records)
+		buf, err := appendFrame(j.buf[:0], seed, j.index, records)
 		if err != nil {
 			return err
 		}
-		next.batch.Write(next.index, buf)
-		next.index++
-		next.grow(len(buf))
-		next.buf = buf
+		j.batch.Write(j.index, buf)
+		j.index++
+		j.grow(len(buf))
+		j.buf = buf
 		if pending += len(buf); pending < writeLen {
 			return nil
 		}
 		pending = 0
-		return errors.Join(log.WriteBatch(next.batch), log.ClearCache())
+		return errors.Join(log.WriteBatch(j.batch), log.ClearCache())
 	}
-	head, seed := makeHead(gen, uint64(len(records))+1)
-	next.seed = seed
+	head, seed := makeHead(j.gen, uint64(len(records))+1)
+	j.seed = seed
 	err = add(0, head)
 	for i := 0; i < len(records) && err == nil; i++ {
 		err = add(seed, records[i])
 	}
 	if err == nil {
-		err = log.WriteBatch(next.batch)
+		err = log.WriteBatch(j.batch)
 	}
 	if err = errors.Join(err, log.Close()); err != nil {
 		return err
 	}
-	if err := j.folders.Sync(path + passing); err != nil {
-		return err
-	}
-	if err := j.folders.Rename(path+passing, path); err != nil {
-		return err
-	}
-	if err := j.folders.Sync(j.dir); err != nil {
-		return err
-	}
-	if next.log, err = wal.Open(path, j.options(false)); err != nil {
-		return err
-	}
-	next.buf, next.batch = nil, &wal.Batch{}
-	*j = next
-	return nil
+	return j.folders.Sync(path)
 }
 
 // load reads the generation in force, cuts its torn tail and makes the rest last.
