--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -82,6 +82,7 @@
 	cores     []waymark.Core // all bothies known, and their mark
 	coresMark uint64
 	kept      []string // the electorate on the disk
+	keeping   keeping
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -130,6 +131,7 @@
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.patience = callMost
+	b.keeping.write = keep
 	b.setSeeds(set)
 	return b
 }
--- a/internal/bothy/keep.go
+++ b/internal/bothy/keep.go
@@ -18,6 +18,47 @@
 	keepEnd  = "end"
 )
 
+// keepAgain is until an electorate that could not be kept is tried again.
+const keepAgain = 1000.0
+
+// keeping is how it goes with the disk: one thing at a time, and after a fault a pause.
+type keeping struct {
+	write  func(dir string, ids []string) error
+	busy   bool
+	failed bool // and that was told
+	next   float64
+}
+
+func (k *keeping) begin(now float64) bool {
+	if k.busy || now < k.next {
+		return false
+	}
+	k.busy = true
+	return true
+}
+
+// keepNow keeps an electorate. Where the disk takes nothing the bothy goes on with what it has: only
+// a next life that finds an older one has to wait longer.
+func (b *Bothy) keepNow(ids []string) {
+	err := b.keeping.write(b.set.ArchiveDir, ids)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := &b.keeping
+	k.busy = false
+	switch {
+	case err == nil:
+		b.kept = ids
+		if k.failed {
+			b.log.Info().Msg("the electorate is kept again")
+		}
+	case !k.failed:
+		b.log.Error().Err(err).Msg("the electorate can't be kept")
+	}
+	if k.failed = err != nil; k.failed {
+		k.next = b.now() + keepAgain
+	}
+}
+
 // recall reads the electorate that an earlier life kept; none where the file is odd. The flag tells
 // that there was no file, so that no earlier life had this disk.
 func recall(dir string) (ids []string, none bool) {
@@ -49,6 +90,7 @@
 	lines := append(append([]string{keepHead}, ids...), keepEnd, "")
 	_, err = f.WriteString(strings.Join(lines, "\n"))
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		_ = os.Remove(path + ".new") // what it takes of a full disk others need
 		return err
 	}
 	if err := os.Rename(path+".new", path); err != nil {
--- a/internal/bothy/keep_test.go
+++ b/internal/bothy/keep_test.go
@@ -1,11 +1,14 @@
 package bothy
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/trailhead"
@@ -50,3 +53,63 @@
 		assert.Equal(t, voice.Send[0].Yes, life == 0)
 	}
 }
+
+// TestAFullDiskEndsNoBothy: the electorate is tried again after a pause, one at a time, the fault and
+// its end are told once, and ballots go on also where the disk hangs.
+func TestAFullDiskEndsNoBothy(t *testing.T) {
+	var log bytes.Buffer
+	self := "127.0.0.1:7001"
+	b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7000, 7002}, FirstRun: true, ArchiveDir: t.TempDir()}, zerolog.New(&log))
+	now := 0.0
+	b.clock = func() float64 { return now }
+	b.warden = warden.New(self, 1, now, dutyLease, true, dutySlices)
+	type write struct {
+		ids  []string
+		ends chan error
+	}
+	writes := make(chan write)
+	b.keeping.write = func(_ string, ids []string) error {
+		w := write{ids, make(chan error)}
+		writes <- w
+		return <-w.ends
+	}
+	at := func(ms float64) { // asked every 100 ms until then
+		for ; now < ms; now += 100 {
+			b.mu.Lock()
+			b.warden.Electorate(now, now, []string{self}, 1, 0)
+			b.mu.Unlock()
+			b.ward(t.Context())
+		}
+	}
+	over := func(w write, err error) {
+		w.ends <- err
+		for busy := true; busy; {
+			b.mu.Lock()
+			busy = b.keeping.busy
+			b.mu.Unlock()
+		}
+	}
+	for now = 0; len(b.warden.Settled(now)) == 0; now += 100 {
+		b.warden.Electorate(now, now, []string{self}, 1, 0)
+	}
+	at(now + 5000) // one hangs, and no other is begun
+	w := <-writes
+	assert.DeepEqual(t, w.ids, []string{self})
+	assert.Equal(t, b.warden.Holder(now, dutySlices), self)
+	over(w, unix.ENOSPC)
+	for range 3 {
+		failed := now
+		at(failed + keepAgain)
+		assert.Assert(t, !b.keeping.busy, "a pause after a fault")
+		at(failed + keepAgain + 300)
+		over(<-writes, unix.ENOSPC)
+	}
+	assert.Equal(t, len(b.kept), 0)
+	at(now + 2*keepAgain)
+	over(<-writes, nil)
+	assert.DeepEqual(t, b.kept, []string{self})
+	at(now + 5000)
+	assert.Assert(t, !b.keeping.busy, "it is kept")
+	assert.Equal(t, strings.Count(log.String(), "can't be kept"), 1)
+	assert.Equal(t, strings.Count(log.String(), "kept again"), 1)
+}
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -183,17 +183,11 @@
 	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Tick})
 	b.duties(out)
 	settled := b.warden.Settled(b.now())
-	again := settled != nil && !slices.Equal(settled, b.kept)
+	again := b.set.ArchiveDir != "" && settled != nil && !slices.Equal(settled, b.kept) && b.keeping.begin(b.now())
 	b.mu.Unlock()
 	b.send(out)
-	if again && b.set.ArchiveDir != "" {
-		if err := keep(b.set.ArchiveDir, settled); err != nil {
-			b.log.Error().Err(err).Msg("the electorate can't be kept")
-			return
-		}
-		b.mu.Lock()
-		b.kept = settled
-		b.mu.Unlock()
+	if again {
+		go b.keepNow(settled) // a disk that hangs must not hold up the ballots
 	}
 }
 
