Store: the loop does not wait for a body that is being unpacked

holds() took the desk's lock at each step, and a chunk that ends a body inflates and hashes it under that lock. The state goes to the desk by an atomic pointer.

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -141,17 +141,15 @@
 	s.held = s.held || len(stored) > 0
 	s.lost, s.size = nil, s.journal.Size()
 	s.known = known{s.machine.View(), s.machine.State()}
-	s.holds(s.known.state)
+	s.holds.Store(s.known.state)
 	s.log.Info().Int("records", len(stored)).Uint64("view", s.machine.View().No).Bool("first", first).Msg("disk read")
 }
 
 // synced notes what may be told from now on.
 func (s *Store) synced() {
 	s.size = s.journal.Size()
-	last := s.known.state.Last
-	if s.known = (known{s.machine.View(), s.machine.State()}); s.known.state.Last != last {
-		s.holds(s.known.state)
-	}
+	s.known = known{s.machine.View(), s.machine.State()}
+	s.holds.Store(s.known.state)
 }
 
 // down says whether nothing can be done now.
--- a/internal/store/lane.go
+++ b/internal/store/lane.go
@@ -123,6 +123,7 @@
 // parcel and chunk are calls of another machine's courier.
 func (s *Store) parcel(ctx context.Context, p waymark.Parcel) (waymark.Wanted, error) {
 	s.deskMu.Lock()
+	s.desk.state = s.holds.Load()
 	m, w, err := s.desk.parcel(s.now(), p)
 	s.deskMu.Unlock()
 	if err != nil || len(w.Sum) > 0 {
@@ -135,12 +136,6 @@
 func (s *Store) chunk(_ context.Context, c waymark.Chunk) (waymark.Taken, error) {
 	s.deskMu.Lock()
 	defer s.deskMu.Unlock()
+	s.desk.state = s.holds.Load()
 	return s.desk.chunk(s.now(), c)
 }
-
-// holds tells the desk what need not be sent.
-func (s *Store) holds(state *cairn.State) {
-	s.deskMu.Lock()
-	defer s.deskMu.Unlock()
-	s.desk.state = state
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,8 +46,9 @@
 	peers map[string]*traverse.Peer
 	lanes map[string]*lane
 
-	deskMu sync.Mutex
+	deskMu sync.Mutex // not for the loop: a body takes its time to be unpacked
 	desk   desk
+	holds  atomic.Pointer[cairn.State] // what need not be sent
 
 	// The loop's.
 	waiting map[uint64]event
