--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -87,6 +87,7 @@
 	coresMark uint64
 	kept      []string // the electorate on the disk
 	keptEpoch uint64
+	keeping   keeping
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -137,6 +138,7 @@
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.patience = callMost
+	b.keeping.write = keep
 	b.setSeeds(set)
 	return b
 }
--- a/internal/cairn/seats.go
+++ b/internal/cairn/seats.go
@@ -67,13 +67,15 @@
 }
 
 // stale says whether a machine outside the chain must be given the whole state to go on: it has not got it in
-// this view, or it is at the ready, may soon have a seat, and has missed what is committed since.
+// this view, or it is at the ready, may soon have a seat, and has missed what is committed since, for longer
+// than a busy operator takes to make any copy old.
 func (m *Machine) stale(x Ident, b Beat) bool {
 	if !b.Filled {
 		return true
 	}
+	seat := func(y Ident) bool { return y.Addr == x.Addr }
 	_, holds := m.holds(b.Last)
-	return !holds && !slices.Contains(m.view.Core, x) && m.open(b)
+	return !holds && m.now-m.peers[x].filled > m.c.Vacant && !slices.ContainsFunc(m.view.Core, seat) && m.open(b)
 }
 
 // newcomer is a machine outside the core that is filled and has a path with all members of the chain, and what
