--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -197,17 +197,11 @@
 	b.duties(out)
 	b.strikes.watch(b.now(), b.warden.Holder(b.now(), dutyRoster))
 	settled, epoch := b.warden.Settled(b.now())
-	again := settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept))
+	again := b.set.ArchiveDir != "" && settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept)) && b.keeping.begin(b.now())
 	b.mu.Unlock()
 	b.send(out)
-	if again && b.set.ArchiveDir != "" {
-		if err := keep(b.set.ArchiveDir, settled, epoch); err != nil {
-			b.log.Error().Err(err).Msg("the electorate can't be kept")
-			return
-		}
-		b.mu.Lock()
-		b.kept, b.keptEpoch = settled, epoch
-		b.mu.Unlock()
+	if again {
+		go b.keepNow(settled, epoch) // a disk that hangs must not hold up the ballots
 	}
 }
 
