--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -217,7 +217,7 @@
 		return View{}, false
 	}
 	for _, x := range m.view.Core {
-		if b, ok := m.report(x); ok && b.Filled && !b.Leaving && !slices.Contains(m.view.Chain, x) && m.live(x) && m.heardByAll(x) {
+		if b, ok := m.report(x); ok && b.Filled && !slices.Contains(m.view.Chain, x) && m.live(x) && m.heardByAll(x) {
 			back = append(back, x)
 		}
 	}
--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -64,6 +64,28 @@
 	{corner: "view majority", name: "an order of an older view is kept to", file: cairns + "forget.go",
 		old: "	if f.View == m.view.No {", wrong: "	if true {", tests: "TestWhoIsThereIsNotForgotten"},
 
+	// The core changes by agreement.
+	{corner: "replacement", name: "a newcomer takes nobody's seat", file: cairns + "seats.go",
+		old: "		case gone == nil:\n			return v // all are there\n", wrong: "		case gone == nil:\n			v.Seats++\n", tests: "TestALeaverHandsOver|TestWhoOthersHearKeepsItsSeat"},
+	{corner: "replacement", name: "a seat that is silent is not vacant", file: cairns + "seats.go",
+		old: "		if s := m.silence(x); !m.live(x) && s >= after", wrong: "		if s := m.silence(x); false && s >= after", tests: "TestASecondLossDuringAMend|TestTwoReplacementsAndACut"},
+	{corner: "replacement", name: "a member that others hear loses its seat", file: cairns + "seats.go",
+		old: "(m.unheard(x) || m.faults.grabs)", wrong: "true", tests: "TestWhoOthersHearKeepsItsSeat"},
+	{corner: "replacement", name: "one that answers a ballot loses its seat by it", file: cairns + "view.go",
+		old: "	if t.best == nil && p.Accepted == nil && ", wrong: "	if false && ", tests: "TestAnsweringKeepsASeat"},
+	{corner: "replacement", name: "a leaver does not wait for who is to have its seat", file: cairns + "leave.go",
+		old: "!ready && slices", wrong: "(!ready || true) && slices", tests: "TestLeftIsProven|TestALeaverHandsOver"},
+	{corner: "replacement", name: "a leaver goes without the word that the new view has opened", file: cairns + "leave.go",
+		old: " && p.beat.Committed.View == m.view.No", wrong: "", tests: "TestLeftIsProven"},
+	{corner: "replacement", name: "a leaver is taken back", file: cairns + "view.go",
+		old: "	if at >= 0 && !b.Leaving && m.stale", wrong: "	if at >= 0 && m.stale", tests: "TestARestartIsNoLeave|TestALeaverHandsOver"},
+	{corner: "replacement", name: "a core is rebuilt while its majority is heard", file: cairns + "rebuild.go",
+		old: "	if m.lostFor() < m.c.Lost ||", wrong: "	if", tests: "TestRebuild"},
+	{corner: "replacement", name: "a core is rebuilt from another copy than the one named", file: cairns + "rebuild.go",
+		old: "m.last() != r.Last ||", wrong: "", tests: "TestRebuild"},
+	{corner: "replacement", name: "a copy that a busy operator has made old is never taken", file: cairns + "seats.go",
+		old: " && m.now-m.peers[x].filled > m.c.Vacant &&", wrong: " &&", tests: "TestNewcomersUnderSteadyChanges"},
+
 	// Keys and configurations.
 	{corner: "revocation lease", name: "a lease counts from the answer's coming", file: proxies + "session.go",
 		old: "asked+a.AsOf+p.set.Bounds.RevokeS*1000-leaseMargin", wrong: "p.clock.Now()+0*asked+p.set.Bounds.RevokeS*1000-leaseMargin", tests: "TestKeysHold|TestAStaleAnswerLeavesTheLease"},
