--- a/internal/link/match_test.go
+++ b/internal/link/match_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"foxwood/gatekeeper"
@@ -172,3 +173,29 @@
 		}
 	}
 }
+
+// TestALinkIsNotUsedPastItsRest: who wakes from a freeze has requests before its sweep, and links that
+// rested for all of it.
+func TestALinkIsNotUsedPastItsRest(t *testing.T) {
+	quiet, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(quiet[0])
+	defer syscall.Close(quiet[1])
+	for _, c := range []struct {
+		rest float64
+		used bool
+	}{{4000, true}, {20000, false}} {
+		w := newMatching()
+		w.fleet.Execute(execution(3, 1, 0))
+		first := w.up()
+		first.fd = quiet[0]
+		first.end.traffic(answerOf("3", "x"))
+		w.clock.Set(w.clock.Now() + c.rest)
+		w.fleet.Execute(execution(4, 1, 0))
+		if used := len(w.dials) == 0; used != c.used || first.closed == c.used {
+			t.Errorf("after %.0f ms: used %t, closed %t", c.rest, used, first.closed)
+		}
+	}
+}
--- a/internal/link/model_test.go
+++ b/internal/link/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -112,6 +113,7 @@
 	room   int    // bytes that the kernel takes at once
 	closed bool
 	spoilt bool // it has brought noise
+	fd     int  // of a socket that is looked at in its place, 0 for none
 }
 
 func (c *fakeConn) Write(b []byte) (int, error) {
@@ -124,7 +126,7 @@
 }
 
 func (c *fakeConn) OutboundBuffered() int { return len(c.held) }
-func (c *fakeConn) Fd() int               { return -1 }
+func (c *fakeConn) Fd() int               { return cmp.Or(c.fd, -1) }
 
 // pass lets the kernel take more of what is held.
 func (c *fakeConn) pass(n int) {
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -124,8 +124,12 @@
 	s.open()
 }
 
-// stale tells whether the worker may be closing the link by now, by its own word.
-func (l *server) stale(now float64) bool { return !l.dead && l.kept && now-l.since >= l.keep }
+// stale tells whether the worker may be closing the link by now, by its own word; or whether it has rested
+// for longer than any may, as after a freeze of ours, before the sweep has seen it.
+func (l *server) stale(now float64) bool {
+	rest := now - l.since
+	return !l.dead && (l.kept && rest >= l.keep || rest > l.fleet.idleMost)
+}
 
 // take is an idle link that can be used, the one used last of them. It guards against
 // what a worker sends behind its answer: on a link used again at once that would be
