--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -338,6 +338,30 @@
 	assert.Assert(t, sent < len(waymark.Deflate(body))-had+2000)
 }
 
+// TestChunksGoByTheLine: they grow while the line takes them soon, beyond what a bare call takes, and
+// shrink where it has become slow, also to the least.
+func TestChunksGoByTheLine(t *testing.T) {
+	const far = 500.0
+	b := blob{waymark.Blob{Sum: large(32, 1), Len: 1 << 30, Packed: 64 << 20}, make([]byte, 64<<20)}
+	c := courier{queue: []*parcel{{made: &waymark.Parcel{}, blobs: []blob{b}}}}
+	c.next(0)
+	c.wanted(far, c.queue[0].made, waymark.Wanted{Sum: b.Sum})
+	now := far
+	for _, line := range []struct {
+		perMs float64
+		chunk int
+	}{{15000, chunkMost}, {250, 32 << 10}, {100, chunkLess}, {10, chunkLess}, {15000, chunkMost}} {
+		for range 8 {
+			call, _ := c.next(now)
+			chunk := call.(*waymark.Chunk)
+			now += far + float64(len(chunk.Bytes))/line.perMs
+			c.taken(now, chunk, waymark.Taken{Have: chunk.From + len(chunk.Bytes)})
+		}
+		call, _ := c.next(now)
+		assert.Equal(t, len(call.(*waymark.Chunk).Bytes), line.chunk, "%.0f bytes a ms", line.perMs)
+	}
+}
+
 // TestADeskTakesNoRubbish: what does not fit is not taken, what is spoilt is begun anew, and what
 // many begin has an end.
 func TestADeskTakesNoRubbish(t *testing.T) {
@@ -374,9 +398,11 @@
 
 	for i := range byte(40) { // as many that begin and never go on
 		x := waymark.Blob{Sum: large(32, i), Len: 20 << 20, Packed: 20 << 20}
-		for from := 0; from < 1<<20; from += chunkMost {
-			_, err := d.chunk(0, waymark.Chunk{Blob: x, From: from, Bytes: b.packed[:min(chunkMost, len(b.packed))]})
+		for from := 0; from < 1<<20; {
+			a, err := d.chunk(0, waymark.Chunk{Blob: x, From: from, Bytes: make([]byte, chunkMost)})
 			assert.NilError(t, err)
+			assert.Equal(t, a.Have, from+chunkMost)
+			from = a.Have
 		}
 	}
 	n := 0
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -378,13 +378,27 @@
 	end := run(t, s)
 	enter(t, s, configuration(1))
 	wait := make(chan struct{})
-	waits := make(chan error, 1)
-	go func() {
-		_, err := s.enter(t.Context(), configuration(2))
-		waits <- err
-	}()
-	f.hang <- wait
-	assert.Equal(t, traverse.KindOf(next(t, waits)), traverse.Unknown, "it may get onto the disk")
+	waits := map[uint64]chan result{}
+	for i, e := range []cairn.Event{{Submit: &cairn.Submit{Change: configuration(2).Change}}, {Ask: &cairn.Ask{}}} {
+		id := uint64(1e9) + uint64(i)
+		waits[id] = make(chan result, 1)
+		if e.Submit != nil {
+			e.Submit.ID = id
+		} else {
+			e.Ask.ID = id
+		}
+		s.events <- event{Event: e, id: id, done: waits[id]}
+		if i == 0 {
+			f.hang <- wait // it is on its way to the disk, or the step before it is
+		}
+	}
+	for id, got := range waits { // without the time limit that a call has
+		if o := next(t, got).Outcome; id == 1e9 {
+			assert.Assert(t, o != cairn.OK, "it may get onto the disk, or was not taken")
+		} else {
+			assert.Equal(t, o, cairn.Unavailable)
+		}
+	}
 	assert.Assert(t, strings.Contains(standing(t, s), "disk hangs"))
 	sent := s.counts.Sent
 	for range 3 {
