--- a/internal/cairn/replace_test.go
+++ b/internal/cairn/replace_test.go
@@ -261,7 +261,7 @@
 		n := w.nodes[at]
 		w.isolate(n, 12000)
 		w.run(w.now + 500)
-		next := w.join() // whoever it was meant for
+		next := w.join()    // whoever it was meant for
 		w.isolate(n, 11500) // from that one too
 		w.boot(next, false)
 		w.run(w.now + 4000)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,7 +56,7 @@
 	waiting map[uint64]event
 	looks   []func()
 	view    uint64
-	alone   bool // no majority of the core is heard, and that was told
+	alone   bool     // no majority of the core is heard, and that was told
 	from    []string // seeds
 	counts  counts
 	diskState
