Bind a zone's order to the tail's word, and drop it if its caller has left

Cause: an evacuation carries no number. One that lay in a socket, in the store's queue behind a stalled disk or in a machine that stood still was entered when that ended, long after its caller had been told 503 and had gone on elsewhere: it undid what two later calls had been acknowledged for. The head's answer that the zone was changed meanwhile made the machine send it again as newer. A late DELETE /shadow could stop a newer order alike.

Ruled out: the machine's own time of the call (the frame itself may have lain there), refusing for a second after a standstill (a cut leaves no standstill to notice).

Change: the bothy first asks the tail, drops the order if its caller's connection has ended by then (the end lies right behind the request), and enters it after the entry that the tail has named; if the zone was changed behind that, it is not entered (Overtaken, 503, tried anew while the caller waits).

Measured: TestALateOrderForAZone (without the bound the zone is emptied again), TestAnOrderWhoseCallerHasLeft, TestTheEndOfAConnectionIsSeen, TestAZoneThatWasChangedMeanwhile.

--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -331,3 +332,75 @@
 	assert.Assert(t, a.Stale)
 	assert.Assert(t, a.AsOf <= -20_000, "%v", a.AsOf)
 }
+
+// TestAnOrderWhoseCallerHasLeft: it lay in a socket behind a cut or a freeze, and the end of its connection right behind it.
+// An order without a number is dropped then; one that is entered is bound to the tail's word.
+func TestAnOrderWhoseCallerHasLeft(t *testing.T) {
+	for _, c := range []struct{ method, path string }{{"POST", "/evacuate/a1"}, {"DELETE", "/evacuate/a1"}, {"DELETE", "/shadow"}} {
+		for _, left := range []bool{true, false} {
+			s := open(t)
+			held := cairn.Order{No: 7, Body: []byte(copies(7, "10.0.0.9:80"))}
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) {
+				if left {
+					leave()
+				}
+				return waymark.Confirmed{Last: cairn.Stamp{Seq: 9, View: 3}, State: &cairn.State{Orders: map[string]cairn.Order{OrderShadow: held}}}, nil
+			}
+			w := httptest.NewRecorder()
+			s.doors()["control"].ServeHTTP(w, httptest.NewRequestWithContext(ctx, c.method, c.path, nil))
+			assert.Equal(t, len(s.entered) > 0, !left, "%s %s", c.method, c.path)
+			if left {
+				assert.Equal(t, w.Code, 503, "%s %s", c.method, c.path)
+			}
+		}
+	}
+}
+
+// TestAZoneThatWasChangedMeanwhile: the order is brought in again, after what was done since.
+func TestAZoneThatWasChangedMeanwhile(t *testing.T) {
+	s := open(t)
+	var afters []cairn.Stamp
+	s.cairn.Close()
+	s.cairn = traverse.NewPeer(serve(t, func(server *traverse.Server) {
+		traverse.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
+			if afters = append(afters, q.After); len(afters) == 1 {
+				return waymark.Entered{}, traverse.Errorf(traverse.Stale, "the zone was changed meanwhile")
+			}
+			return waymark.Entered{}, nil
+		})
+		traverse.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
+			return waymark.Confirmed{Last: cairn.Stamp{Seq: 5 + uint64(len(afters)), View: 1}}, nil
+		})
+	}))
+	t.Cleanup(s.cairn.Close)
+	assert.Equal(t, s.ask("control", "POST", "/evacuate/a1", nil).Code, 200)
+	assert.DeepEqual(t, afters, []cairn.Stamp{{Seq: 5, View: 1}, {Seq: 6, View: 1}})
+}
+
+// TestTheEndOfAConnectionIsSeen: a request and the end of its connection lie in the socket together, as after a freeze.
+// The end is seen while the tail is asked.
+func TestTheEndOfAConnectionIsSeen(t *testing.T) {
+	s := open(t)
+	began := make(chan context.Context, 1)
+	control := s.doors()["control"]
+	done := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(done)
+		began <- r.Context()
+		control.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) {
+		<-(<-began).Done()
+		return waymark.Confirmed{Last: cairn.Stamp{Seq: 1}}, nil
+	}
+	c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /evacuate/a1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
+	<-done
+	assert.Equal(t, len(s.entered), 0)
+}
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -23,6 +23,7 @@
 	timetableMost = 24 << 20 // bytes of a configuration
 	pollMost      = 900 * time.Millisecond
 	pollSilent    = 2000.0 // milliseconds without the list after which that is told
+	zonedTries    = 4      // as often others may change the zone in between
 	pollAlone     = 60.0   // milliseconds after its start that a bothy waits for others' rosters
 )
 
@@ -140,8 +141,8 @@
 }
 
 // tails is what is committed by the tail's word, and by nothing less: what a machine recalls may be old.
-func (b *Bothy) tails(ctx context.Context) (got waymark.Confirmed, err error) {
-	got, err = traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{})
+func (b *Bothy) tails(ctx context.Context, have cairn.Stamp) (got waymark.Confirmed, err error) {
+	got, err = traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have})
 	if err == nil && got.Recalled {
 		err = traverse.Errorf(traverse.Stale, "the tail did not answer")
 	}
@@ -152,7 +153,7 @@
 func (b *Bothy) get(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), b.patience)
 	defer cancel()
-	got, err := b.tails(ctx)
+	got, err := b.tails(ctx, cairn.Stamp{})
 	switch {
 	case err != nil:
 		b.fail(w, err)
@@ -164,6 +165,32 @@
 	}
 }
 
+// zoned brings a zone's change into the chain. Such an order has no number, and one that lay here or in a socket while
+// this machine stood still or was cut off must not undo what others were told since. It is therefore bound to the tail's word,
+// which is asked for first, and dropped if its caller has left by then: what ended his connection lies right behind the
+// order. Where the zone has been changed in between, all of that begins anew.
+func (b *Bothy) zoned(ctx context.Context, c cairn.Change) (err error) {
+	bounded, cancel := context.WithTimeout(ctx, b.patience)
+	defer cancel()
+	b.mu.Lock()
+	have := b.state.Last
+	b.mu.Unlock()
+	for range zonedTries {
+		var got waymark.Confirmed
+		if got, err = b.tails(bounded, have); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return traverse.Errorf(traverse.Unavailable, "the caller has left")
+		}
+		_, err = traverse.Call[waymark.Enter, waymark.Entered](bounded, b.cairn, waymark.Enter{Change: c, After: got.Last})
+		if traverse.KindOf(err) != traverse.Stale {
+			return err
+		}
+	}
+	return err
+}
+
 func (b *Bothy) evacuate(kind cairn.ChangeKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		zone := r.PathValue("zone")
@@ -171,7 +198,7 @@
 			b.fail(w, traverse.Errorf(traverse.NotFound, "no zone %q", zone))
 			return
 		}
-		if err := b.enter(r.Context(), cairn.Change{Kind: kind, Zone: zone}); err != nil {
+		if err := b.zoned(r.Context(), cairn.Change{Kind: kind, Zone: zone}); err != nil {
 			b.fail(w, err)
 			return
 		}
--- a/internal/bothy/shadow.go
+++ b/internal/bothy/shadow.go
@@ -93,7 +93,7 @@
 func (b *Bothy) heldState(ctx context.Context) (s cairn.State, err error) {
 	ctx, cancel := context.WithTimeout(ctx, b.patience)
 	defer cancel()
-	got, err := b.tails(ctx)
+	got, err := b.tails(ctx, cairn.Stamp{})
 	if err == nil && got.State != nil {
 		s = *got.State
 	}
@@ -123,6 +123,9 @@
 func (b *Bothy) stopShadow(w http.ResponseWriter, r *http.Request) {
 	for n := 0; ; n++ {
 		held, err := b.heldShadow(r.Context())
+		if err == nil && r.Context().Err() != nil { // it may have lain here, and would stop what came since
+			err = traverse.Errorf(traverse.Unavailable, "the caller has left")
+		}
 		if err != nil {
 			b.fail(w, err)
 			return
--- a/internal/cairn/chain.go
+++ b/internal/cairn/chain.go
@@ -344,7 +344,7 @@
 }
 
 func (m *Machine) submit(s Submit) {
-	m.submits = append(m.submits, &submitted{Submit: s, until: m.now + m.c.Answer, at: -1e18})
+	m.submits = append(m.submits, &submitted{Submit: s, until: m.now + m.c.Answer, at: -1e18, after: s.After})
 }
 
 func (m *Machine) ask(a Ask) {
@@ -362,7 +362,7 @@
 			m.out.Done = append(m.out.Done, Result{ID: s.ID, Outcome: o})
 			return true
 		}
-		if s.after.less(m.base.Last) {
+		if s.After == (Stamp{}) && s.after.less(m.base.Last) {
 			s.after = m.base.Last
 		}
 		if n := len(m.view.Chain); n > 0 && (m.now-s.at >= m.c.Again || s.view != m.view.No) {
@@ -450,6 +450,10 @@
 		if s.ID != e.ID {
 			return false
 		}
+		if e.Stale != (Stamp{}) && s.After != (Stamp{}) {
+			m.out.Done = append(m.out.Done, Result{ID: s.ID, Outcome: Overtaken})
+			return true
+		}
 		if e.Stale != (Stamp{}) {
 			if s.after.less(e.Stale) {
 				s.after, s.at = e.Stale, -1e18
--- a/internal/cairn/cut_test.go
+++ b/internal/cairn/cut_test.go
@@ -112,3 +112,45 @@
 	w.run(w.now + 500)
 	assert.ErrorContains(t, w.broken, "after 1 was acknowledged")
 }
+
+// TestALateOrderForAZone: an order lay in a machine that stood still, and another machine has told its caller and
+// then a second one that the zone is emptied and taken back. What was bound to the tail's word is not entered any
+// more; without that it would be, as new.
+func TestALateOrderForAZone(t *testing.T) {
+	for _, bound := range []bool{true, false} {
+		w := newWorld(4, 3, 3, faults{})
+		w.calmed = true
+		w.run(1500)
+		order := func(n *node, k ChangeKind, after Stamp) *call {
+			c := &call{node: n, zone: true}
+			w.begin(n, c, Event{Submit: &Submit{Change: Change{Kind: k, Zone: "z"}, After: after}})
+			return c
+		}
+		slow, well := w.nodes[1], w.nodes[2]
+		first := slow.m.State().Last
+		w.freeze(slow, 20_000)
+		var late *call
+		if bound {
+			late = order(slow, Evacuate, first)
+		} else {
+			late = order(slow, Evacuate, Stamp{})
+		}
+		w.run(w.now + 4000)
+		for _, k := range []ChangeKind{Evacuate, TakeBack} {
+			c := order(well, k, well.m.State().Last)
+			w.run(w.now + 900)
+			assert.Equal(t, *c.outcome, OK)
+		}
+		w.run(w.now + 20_000)
+		_, emptied := w.nodes[0].m.State().Evacuated["z"]
+		assert.Equal(t, emptied, !bound)
+		if bound {
+			assert.Equal(t, *late.outcome, Overtaken)
+		}
+		// Who knows of what was done since is heard.
+		c := order(slow, Evacuate, slow.m.State().Last)
+		w.run(w.now + 900)
+		assert.Equal(t, *c.outcome, OK)
+		assert.NilError(t, w.broken)
+	}
+}
--- a/internal/cairn/types.go
+++ b/internal/cairn/types.go
@@ -272,10 +272,13 @@
 	Addr string
 }
 
-// Submit is a change wanted by a caller on this machine. IDs must not repeat within a life.
+// Submit is a change wanted by a caller on this machine. IDs must not repeat within a life. After, where it is
+// set, is the newest entry that the caller knew of, by the tail's word: a change of a zone that lay somewhere since,
+// while others have changed the zone, is not entered.
 type Submit struct {
 	ID     uint64
 	Change Change
+	After  Stamp
 }
 
 // Ask wants the state as it is now, so new that nothing acknowledged before is missing.
@@ -293,6 +296,8 @@
 	Unavailable
 	// Unknown : the change may be in force, now or later, or never.
 	Unknown
+	// Overtaken : the zone was changed after what the caller knew of, perhaps by this very change.
+	Overtaken
 	// Refused : another order is committed under the number. The change is not in force and never will be.
 	Refused
 )
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -308,6 +308,8 @@
 			return r, nil
 		case cairn.Unavailable:
 			return r, traverse.Errorf(traverse.Unavailable, "the chain takes nothing now")
+		case cairn.Overtaken:
+			return r, traverse.Errorf(traverse.Stale, "the zone was changed meanwhile")
 		case cairn.Refused:
 			return r, traverse.Errorf(traverse.Conflict, "another order is committed under this number")
 		}
@@ -323,7 +325,7 @@
 		return waymark.Entered{}, traverse.Errorf(traverse.Invalid, "a change of %d bytes", len(q.Change.Body))
 	}
 	id := s.lastID.Add(1)
-	_, err := s.put(ctx, event{Event: cairn.Event{Submit: &cairn.Submit{ID: id, Change: q.Change}}, id: id})
+	_, err := s.put(ctx, event{Event: cairn.Event{Submit: &cairn.Submit{ID: id, Change: q.Change, After: q.After}}, id: id})
 	return waymark.Entered{}, err
 }
 
--- a/internal/waymark/waymark.go
+++ b/internal/waymark/waymark.go
@@ -199,8 +199,12 @@
 	Lease  float64          `cbor:"2,keyasint,omitempty"`
 }
 
-// Enter has a cairn bring a change into the chain. It is answered when the tail has it.
-type Enter struct{ Change cairn.Change }
+// Enter has a cairn bring a change into the chain. It is answered when the tail has it. After is the newest entry
+// that the caller knew of, for a change that must not undo what came behind that.
+type Enter struct {
+	Change cairn.Change
+	After  cairn.Stamp `cbor:",omitempty"`
+}
 
 // Entered tells that it is committed.
 type Entered struct{}
