--- a/internal/cairn/cut_test.go
+++ b/internal/cairn/cut_test.go
@@ -154,3 +154,23 @@
 		assert.NilError(t, w.broken)
 	}
 }
+
+// TestTheBoundOfAnOrderStays though its machine learns more while it waits: the caller knew of no more.
+func TestTheBoundOfAnOrderStays(t *testing.T) {
+	for _, bound := range []Stamp{{}, {Seq: 1, View: 1}} {
+		m, _ := one(t, b1, faults{})
+		entered := func(o Out) Stamp {
+			got := sentTo(o, func(g Message) *Enter { return g.Enter })
+			assert.Equal(t, len(got), 1)
+			return got[0].After
+		}
+		entry := Entry{Stamp: Stamp{1, 1}}
+		m.Step(1005, from(a1, b1, Message{Fill: &Fill{View: 1, Whole: Whole{State: State{Last: entry.Stamp}}}}))
+		first := entered(m.Step(1010, Event{Submit: &Submit{ID: 1, Change: Change{Kind: Evacuate, Zone: "z"}, After: bound}}))
+		assert.Equal(t, first, Stamp{1, 1})
+		m.Step(1020, from(a1, b1, Message{Fill: &Fill{View: 1, Whole: Whole{State: State{Last: Stamp{4, 1}}}}}))
+		assert.Equal(t, m.State().Last, Stamp{4, 1})
+		again := entered(m.Step(1300, Event{}))
+		assert.Equal(t, again == first, bound != Stamp{}, "%v", again)
+	}
+}
