--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -73,6 +73,7 @@
 	peers     map[string]*traverse.Peer // the other bothies
 	zones     map[string]string         // theirs
 	seeds     []string
+	places    map[string]string // the settings' zones, with their regions
 	state     cairn.State
 	packed    []byte // the state's configuration, as it travels
 	parsed    *timetable.Timetable
@@ -151,7 +152,7 @@
 }
 
 func (b *Bothy) setSeeds(set *trailhead.Settings) {
-	b.seeds = set.Seeds(bothyDock)
+	b.seeds, b.places = set.Seeds(bothyDock), set.Zones
 	b.electorate()
 }
 
--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -404,3 +404,14 @@
 	<-done
 	assert.Equal(t, len(s.entered), 0)
 }
+
+// TestAZoneThatIsNewInTheSettings may be emptied without a restart.
+func TestAZoneThatIsNewInTheSettings(t *testing.T) {
+	s := open(t)
+	assert.Equal(t, s.ask("control", "POST", "/evacuate/c1", nil).Code, 404)
+	set := *s.set
+	set.Zones = map[string]string{"a1": "a", "c1": "c"}
+	s.Reload(&set)
+	assert.Equal(t, s.ask("control", "POST", "/evacuate/c1", nil).Code, 200)
+	assert.Equal(t, s.ask("control", "POST", "/evacuate/b%201", nil).Code, 404)
+}
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -194,7 +194,11 @@
 func (b *Bothy) evacuate(kind cairn.ChangeKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		zone := r.PathValue("zone")
-		if _, ok := b.set.Zones[zone]; !ok && len(b.set.Zones) > 0 {
+		b.mu.Lock()
+		_, ok := b.places[zone]
+		ok = ok || len(b.places) == 0
+		b.mu.Unlock()
+		if !ok {
 			b.fail(w, traverse.Errorf(traverse.NotFound, "no zone %q", zone))
 			return
 		}
