Have an operator's order for the level need the tail too

Cause: like an evacuation it has no number. One that lay in a bothy that stood still was passed on when it woke, in place of a newer one; and a bothy that had lost the core passed orders on.

Change: the tail is asked first, and an order whose caller has left by then is dropped.

Measured: TestALevelNeedsTheTail.

--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -415,3 +415,38 @@
 	assert.Equal(t, s.ask("control", "POST", "/evacuate/c1", nil).Code, 200)
 	assert.Equal(t, s.ask("control", "POST", "/evacuate/b%201", nil).Code, 404)
 }
+
+// TestALevelNeedsTheTail: an operator's order for it is neither taken nor passed on without, nor when its caller has left.
+func TestALevelNeedsTheTail(t *testing.T) {
+	s := open(t)
+	now := timed(s)
+	s.Shed(snowline.Options{})
+	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 1}, State: state(1, 12)}, nil)
+	s.mu.Lock()
+	s.warden = warden.New(s.set.Inner(bothyDock), 1, s.now(), dutyLease, true, dutyRoster, DutyLevel)
+	s.mu.Unlock()
+	fix := func(ctx context.Context) error {
+		s.alone(now, 0)
+		for held := false; !held; {
+			now.Add(20)
+			s.ward(t.Context())
+			_, held = s.warden.Holds(s.now(), DutyLevel)
+		}
+		_, err := s.fixLevel(ctx, waymark.FixLevel{Cut: 5, ForMs: 1000})
+		return err
+	}
+	assert.NilError(t, fix(t.Context()))
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) {
+		leave()
+		return waymark.Confirmed{Last: cairn.Stamp{Seq: 1}}, nil
+	}
+	assert.Assert(t, fix(ctx) != nil)
+	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) { return waymark.Confirmed{Recalled: true}, nil }
+	assert.Equal(t, traverse.KindOf(fix(t.Context())), traverse.Stale)
+	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) {
+		return waymark.Confirmed{}, traverse.Errorf(traverse.Unavailable, "no tail")
+	}
+	assert.Equal(t, traverse.KindOf(fix(t.Context())), traverse.Unavailable)
+}
--- a/internal/bothy/shed.go
+++ b/internal/bothy/shed.go
@@ -96,12 +96,27 @@
 	return a, err
 }
 
-// fixLevel takes an operator's order.
+// fixLevel takes an operator's order. It has no number either: as one for a zone it is dropped where the tail is not
+// reached, or its caller has left by then.
 func (b *Bothy) fixLevel(ctx context.Context, q waymark.FixLevel) (a waymark.Eased, err error) {
 	if q.Cut > policy.MarkOpen || !(q.ForMs >= 0 && q.ForMs <= fixMost) {
 		return a, traverse.Errorf(traverse.Invalid, "no such cut, or not for a time up to a day")
 	}
 	b.mu.Lock()
+	have := b.state.Last
+	b.mu.Unlock()
+	if !q.Passed {
+		asked, cancel := context.WithTimeout(ctx, b.patience)
+		_, err = b.tails(asked, have)
+		cancel()
+		if err == nil && ctx.Err() != nil {
+			err = traverse.Errorf(traverse.Unavailable, "the caller has left")
+		}
+		if err != nil {
+			return a, err
+		}
+	}
+	b.mu.Lock()
 	now := b.now()
 	if _, ok := b.warden.Holds(now, DutyLevel); ok {
 		defer b.mu.Unlock()
