--- a/internal/bothy/keep.go
+++ b/internal/bothy/keep.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 )
 
@@ -14,7 +15,7 @@
 
 // keepHead opens the file, and keepEnd ends it: one that is torn or odd tells nothing.
 const (
-	keepHead = "electorate 1"
+	keepHead = "electorate 2 epoch "
 	keepEnd  = "end"
 )
 
@@ -23,7 +24,7 @@
 
 // keeping is how it goes with the disk: one thing at a time, and after a fault a pause.
 type keeping struct {
-	write  func(dir string, ids []string) error
+	write  func(dir string, ids []string, epoch uint64) error
 	busy   bool
 	failed bool // and that was told
 	next   float64
@@ -39,15 +40,15 @@
 
 // keepNow keeps an electorate. Where the disk takes nothing the bothy goes on with what it has: only
 // a next life that finds an older one has to wait longer.
-func (b *Bothy) keepNow(ids []string) {
-	err := b.keeping.write(b.set.ArchiveDir, ids)
+func (b *Bothy) keepNow(ids []string, epoch uint64) {
+	err := b.keeping.write(b.set.ArchiveDir, ids, epoch)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := &b.keeping
 	k.busy = false
 	switch {
 	case err == nil:
-		b.kept = ids
+		b.kept, b.keptEpoch = ids, epoch
 		if k.failed {
 			b.log.Info().Msg("the electorate is kept again")
 		}
@@ -61,24 +62,26 @@
 
 // recall reads the electorate that an earlier life kept; none where the file is odd. The flag tells
 // that there was no file, so that no earlier life had this disk.
-func recall(dir string) (ids []string, none bool) {
+func recall(dir string) (ids []string, epoch uint64, none bool) {
 	if dir == "" {
-		return nil, true
+		return nil, 0, true
 	}
 	raw, err := os.ReadFile(filepath.Join(dir, keepName))
 	if err != nil {
-		return nil, errors.Is(err, fs.ErrNotExist)
+		return nil, 0, errors.Is(err, fs.ErrNotExist)
 	}
 	lines := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
 	n := len(lines)
-	if n < 3 || lines[0] != keepHead || lines[n-1] != keepEnd {
-		return nil, false
+	no, ok := strings.CutPrefix(lines[0], keepHead)
+	epoch, err = strconv.ParseUint(no, 10, 64)
+	if n < 3 || !ok || err != nil || lines[n-1] != keepEnd {
+		return nil, 0, false
 	}
-	return lines[1 : n-1], false
+	return lines[1 : n-1], epoch, false
 }
 
 // keep puts the electorate on the disk, whole or not at all, so that it outlasts a loss of power.
-func keep(dir string, ids []string) error {
+func keep(dir string, ids []string, epoch uint64) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
@@ -87,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	lines := append(append([]string{keepHead}, ids...), keepEnd, "")
+	lines := append(append([]string{keepHead + strconv.FormatUint(epoch, 10)}, ids...), keepEnd, "")
 	_, err = f.WriteString(strings.Join(lines, "\n"))
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
 		_ = os.Remove(path + ".new") // what it takes of a full disk others need
--- a/internal/bothy/keep_test.go
+++ b/internal/bothy/keep_test.go
@@ -20,27 +20,32 @@
 	for _, c := range []struct {
 		name, raw string
 		ids       []string
+		epoch     uint64
 	}{
-		{"whole", "electorate 1\na:1\nb:1\nend\n", []string{"a:1", "b:1"}},
-		{"kept before the first voice", "electorate 1\nend\n", nil},
-		{"empty", "", nil},
-		{"torn", "electorate 1\na:1\n", nil},
-		{"another kind", "electorate 2\na:1\nend\n", nil},
+		{"whole", "electorate 2 epoch 4\na:1\nb:1\nend\n", []string{"a:1", "b:1"}, 4},
+		{"kept before the first voice", "electorate 2 epoch 0\nend\n", nil, 0},
+		{"empty", "", nil, 0},
+		{"of a format without a number", "electorate 1\na:1\nend\n", nil, 0},
+		{"an odd number", "electorate 2 epoch -4\na:1\nend\n", nil, 0},
+		{"torn", "electorate 2 epoch 4\na:1\n", nil, 0},
+		{"another kind", "electorate 3 epoch 4\na:1\nend\n", nil, 0},
 	} {
 		dir := t.TempDir()
 		assert.NilError(t, os.WriteFile(filepath.Join(dir, keepName), []byte(c.raw), 0o600))
-		ids, none := recall(dir)
+		ids, epoch, none := recall(dir)
 		assert.DeepEqual(t, ids, c.ids)
+		assert.Equal(t, epoch, c.epoch, c.name)
 		assert.Assert(t, !none, c.name)
 	}
 	dir := filepath.Join(t.TempDir(), "new")
-	_, none := recall(dir)
+	_, _, none := recall(dir)
 	assert.Assert(t, none)
-	assert.NilError(t, keep(dir, []string{"a:1", "b:1"}))
-	ids, none := recall(dir)
+	assert.NilError(t, keep(dir, []string{"a:1", "b:1"}, 7))
+	ids, epoch, none := recall(dir)
 	assert.DeepEqual(t, ids, []string{"a:1", "b:1"})
+	assert.Equal(t, epoch, uint64(7))
 	assert.Assert(t, !none)
-	_, none = recall("")
+	_, _, none = recall("")
 	assert.Assert(t, none)
 }
 
@@ -68,7 +73,7 @@
 		ends chan error
 	}
 	writes := make(chan write)
-	b.keeping.write = func(_ string, ids []string) error {
+	b.keeping.write = func(_ string, ids []string, _ uint64) error {
 		w := write{ids, make(chan error)}
 		writes <- w
 		return <-w.ends
@@ -89,7 +94,11 @@
 			b.mu.Unlock()
 		}
 	}
-	for now = 0; len(b.warden.Settled(now)) == 0; now += 100 {
+	settled := func() bool {
+		ids, _ := b.warden.Settled(now)
+		return len(ids) > 0
+	}
+	for now = 0; !settled(); now += 100 {
 		b.warden.Electorate(now, now, []string{self}, 1, 0)
 	}
 	at(now + 5000) // one hangs, and no other is begun
@@ -108,6 +117,7 @@
 	at(now + 2*keepAgain)
 	over(<-writes, nil)
 	assert.DeepEqual(t, b.kept, []string{self})
+	assert.Equal(t, b.keptEpoch, uint64(1))
 	at(now + 5000)
 	assert.Assert(t, !b.keeping.busy, "it is kept")
 	assert.Equal(t, strings.Count(log.String(), "can't be kept"), 1)
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -23,6 +23,7 @@
 	timetableMost = 24 << 20 // bytes of a configuration
 	pollMost      = 900 * time.Millisecond
 	pollSilent    = 2000.0 // milliseconds without the list after which that is told
+	zonedTries    = 4      // as often others may change the zone in between
 	pollAlone     = 60.0   // milliseconds after its start that a bothy waits for others' rosters
 )
 
@@ -38,6 +39,7 @@
 	traverse.NotFound:    {http.StatusNotFound, ""},
 	traverse.Busy:        {http.StatusServiceUnavailable, "0.5"},
 	traverse.Stale:       {http.StatusServiceUnavailable, "0.3"},
+	traverse.Conflict:    {http.StatusConflict, ""},
 }
 
 // doors is what outside callers find at which address.
@@ -93,9 +95,12 @@
 		w.Header().Set("Retry-After", a.again)
 	}
 	b.mu.Lock()
-	if a.status < 500 {
+	switch {
+	case a.status == http.StatusConflict:
+		b.counts.Conflicts++
+	case a.status < 500:
 		b.counts.Refused++
-	} else {
+	default:
 		b.counts.Failed++
 	}
 	b.mu.Unlock()
@@ -115,6 +120,9 @@
 		return
 	}
 	if err := b.enter(r.Context(), cairn.Change{Kind: cairn.PutConfiguration, Edition: t.Edition, Body: body}); err != nil {
+		if traverse.KindOf(err) == traverse.Conflict {
+			b.log.Warn().Str("edition", timetable.FormatEdition(t.Edition)).Msg("another configuration under a committed edition is refused")
+		}
 		b.fail(w, err)
 		return
 	}
@@ -132,11 +140,20 @@
 	return err
 }
 
+// tails is what is committed by the tail's word, and by nothing less: what a machine recalls may be old.
+func (b *Bothy) tails(ctx context.Context, have cairn.Stamp) (got waymark.Confirmed, err error) {
+	got, err = traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have})
+	if err == nil && got.Recalled {
+		err = traverse.Errorf(traverse.Stale, "the tail did not answer")
+	}
+	return got, err
+}
+
 // get gives the newest configuration, by the tail's word.
 func (b *Bothy) get(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), b.patience)
 	defer cancel()
-	got, err := traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{})
+	got, err := b.tails(ctx, cairn.Stamp{})
 	switch {
 	case err != nil:
 		b.fail(w, err)
@@ -148,14 +165,44 @@
 	}
 }
 
+// zoned brings a zone's change into the chain. Such an order has no number, and one that lay here or in a socket while
+// this machine stood still or was cut off must not undo what others were told since. It is therefore bound to the tail's word,
+// which is asked for first, and dropped if its caller has left by then: what ended his connection lies right behind the
+// order. Where the zone has been changed in between, all of that begins anew.
+func (b *Bothy) zoned(ctx context.Context, c cairn.Change) (err error) {
+	bounded, cancel := context.WithTimeout(ctx, b.patience)
+	defer cancel()
+	b.mu.Lock()
+	have := b.state.Last
+	b.mu.Unlock()
+	for range zonedTries {
+		var got waymark.Confirmed
+		if got, err = b.tails(bounded, have); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return traverse.Errorf(traverse.Unavailable, "the caller has left")
+		}
+		_, err = traverse.Call[waymark.Enter, waymark.Entered](bounded, b.cairn, waymark.Enter{Change: c, After: got.Last})
+		if traverse.KindOf(err) != traverse.Stale {
+			return err
+		}
+	}
+	return err
+}
+
 func (b *Bothy) evacuate(kind cairn.ChangeKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		zone := r.PathValue("zone")
-		if _, ok := b.set.Zones[zone]; !ok && len(b.set.Zones) > 0 {
+		b.mu.Lock()
+		_, ok := b.places[zone]
+		ok = ok || len(b.places) == 0
+		b.mu.Unlock()
+		if !ok {
 			b.fail(w, traverse.Errorf(traverse.NotFound, "no zone %q", zone))
 			return
 		}
-		if err := b.enter(r.Context(), cairn.Change{Kind: kind, Zone: zone}); err != nil {
+		if err := b.zoned(r.Context(), cairn.Change{Kind: kind, Zone: zone}); err != nil {
 			b.fail(w, err)
 			return
 		}
@@ -185,21 +232,24 @@
 var carrier = &http.Client{Timeout: pollMost, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
 	DisableCompression: true, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}
 
-// poll asks the platform which workers there are, where that is our duty. A list that does not
-// come whole changes nothing.
+// poll asks the platform which workers there are, where that is our duty, and to a part where it is nobody's. A
+// list that does not come whole changes nothing.
 func (b *Bothy) poll(ctx context.Context) {
 	b.mu.Lock()
-	_, ok := b.warden.Holds(b.now(), dutyRoster)
-	empty := b.roster.version == 0 && b.now() > pollAlone
+	began, version := b.now(), b.roster.version
+	before, ok := b.warden.Holds(began, dutyRoster)
+	empty := version == 0 && began > pollAlone
+	orphan := !ok && !empty && b.strikes.orphaned(began) && began >= b.strikes.next
 	b.mu.Unlock()
-	if !ok && !empty {
+	if !ok && !empty && !orphan {
 		return
 	}
-	list, err := b.list(ctx)
+	list, pages, err := b.list(ctx)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Polls++
 	term, ok := b.warden.Holds(b.now(), dutyRoster)
+	ok = ok && term == before        // a list that was begun in another term may be older than what that has told
 	ok = ok || b.roster.version == 0 // who knows of no worker does not wait for the duty to be won
 	switch {
 	case err != nil:
@@ -208,6 +258,8 @@
 			b.unread = true
 			b.log.Warn().Err(err).Msg("the platform's list is not read")
 		}
+	case orphan:
+		b.strike(began, version, pages, list)
 	case !ok: // lost meanwhile: the new holder's may be newer
 	default:
 		b.polled = b.now()
@@ -217,17 +269,17 @@
 		}
 		if b.roster.poll(b.now(), term, list) {
 			b.log.Info().Uint64("version", b.roster.version).Int("workers", len(list)).Msg("workers")
+			b.strikes.settle(b.roster)
 			b.changed()
 		}
 	}
 }
 
-func (b *Bothy) list(ctx context.Context) ([]waymark.Worker, error) {
-	var list []waymark.Worker
+func (b *Bothy) list(ctx context.Context) (list []waymark.Worker, pages int, err error) {
 	token := ""
 	for n := 0; ; n++ {
 		if n > 200 {
-			return nil, fmt.Errorf("the list does not end")
+			return nil, n, fmt.Errorf("the list does not end")
 		}
 		at := "http://" + b.set.CarrierAPI.Address + "/roster"
 		if token != "" {
@@ -235,15 +287,15 @@
 		}
 		p, err := b.page(ctx, at)
 		if err != nil {
-			return nil, err
+			return nil, n, err
 		}
 		workers, err := p.workers()
 		if err != nil {
-			return nil, err
+			return nil, n, err
 		}
 		list = append(list, workers...)
 		if p.Next == nil || *p.Next == "" {
-			return list, nil
+			return list, n + 1, nil
 		}
 		token = *p.Next
 	}
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -29,6 +29,7 @@
 		b.book.Sign(came, q.Guest)
 	}
 	b.warden.Learn(dutyRoster, q.Roster>>termShift)
+	b.strikes.newest = max(b.strikes.newest, q.Roster)
 	b.rolled()
 	b.mu.Unlock()
 	wait := time.NewTimer(time.Duration(min(max(q.Wait, 0), waitMost) * float64(time.Millisecond)))
@@ -55,7 +56,7 @@
 func (b *Bothy) signed(q waymark.Sign, came float64) (a waymark.Signed, some bool) {
 	now := b.now()
 	a.AsOf = b.asked - came
-	a.Stale = b.asked == 0 || now-b.asked > staleAfter
+	a.Stale = b.asked == 0 || now-b.asked > staleAfter || b.waits()
 	a.Settled = b.book.Settled(now, b.core)
 	a.Again = b.book.Again(now, q.Guest.Station, b.set.Bounds.QuotaWindowS*1e3+cistern.KickKeepMs)
 	roll := b.book.Members(now)
@@ -66,6 +67,9 @@
 		some = true
 	}
 	some = b.shadowNews(now, came, roll, &q, &a) || some
+	if struck, mark := b.strikes.list(); mark != 0 && mark != q.Struck {
+		a.Struck, a.StruckNow, some = struck, mark, true
+	}
 	// Who has just started does not know all members yet: by too few of them gatekeepers would
 	// divide what cold workers bear and what quotas leave them.
 	if c := b.crowd(roll, &q.Guest); a.Settled && now >= crowdAfter && c.Mark != q.Crowd {
@@ -116,10 +120,19 @@
 	return c
 }
 
+// waits tells whether this machine has no seat in the core: it hears of no duty's holder, so gatekeepers are
+// better off elsewhere. The lock is held.
+func (b *Bothy) waits() bool {
+	return b.view.No > 0 && !slices.Contains(b.core, b.set.Inner(bothyDock))
+}
+
 // count notes the core machines that are known, with a mark that changes with them. The lock is held.
 func (b *Bothy) count() {
-	cores := []waymark.Core{{Addr: b.set.Inner(bothyDock), Zone: b.set.Zone}}
-	for addr := range b.peers {
+	var cores []waymark.Core
+	if !b.waits() {
+		cores = append(cores, waymark.Core{Addr: b.set.Inner(bothyDock), Zone: b.set.Zone})
+	}
+	for _, addr := range b.known {
 		cores = append(cores, waymark.Core{Addr: addr, Zone: b.zones[addr]})
 	}
 	slices.SortFunc(cores, func(x, y waymark.Core) int { return strings.Compare(x.Addr, y.Addr) })
@@ -182,12 +195,13 @@
 	}
 	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Tick})
 	b.duties(out)
-	settled := b.warden.Settled(b.now())
-	again := b.set.ArchiveDir != "" && settled != nil && !slices.Equal(settled, b.kept) && b.keeping.begin(b.now())
+	b.strikes.watch(b.now(), b.warden.Holder(b.now(), dutyRoster))
+	settled, epoch := b.warden.Settled(b.now())
+	again := b.set.ArchiveDir != "" && settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept)) && b.keeping.begin(b.now())
 	b.mu.Unlock()
 	b.send(out)
 	if again {
-		go b.keepNow(settled) // a disk that hangs must not hold up the ballots
+		go b.keepNow(settled, epoch) // a disk that hangs must not hold up the ballots
 	}
 }
 
@@ -251,7 +265,8 @@
 		say("duty %s held by %s", d, b.warden.Holder(now, d))
 	}
 	s.Lines = append(s.Lines, b.levelLines()...)
-	say("roster version %d, %d workers, polled %.0f ms ago", b.roster.version, len(b.roster.listed), now-b.polled)
+	say("roster version %d, %d workers, polled %.0f ms ago, %d taken away without the duty", b.roster.version, len(b.roster.listed), now-b.polled,
+		len(b.strikes.at))
 	roll := b.book.Members(now)
 	for i := range roll.Guests {
 		g := &roll.Guests[i]
--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -556,7 +556,7 @@
 	enter(t, b, put(2))
 	c, _ := start("127.0.0.3", false)
 	edition := uint64(2)
-	for until := time.Now().Add(patience); !strings.Contains(standing(t, c), "holds"+fmt.Sprintf(" %d, committed", a.knownOf(t))) || strings.Contains(standing(t, c), "joining"); {
+	for until := time.Now().Add(patience); !strings.Contains(standing(t, c), fmt.Sprintf(".%d, whole, committed", a.knownOf(t))) || strings.Contains(standing(t, c), "joining"); {
 		assert.Assert(t, time.Now().Before(until), "%s", standing(t, c))
 		edition++
 		enter(t, a, configuration(edition))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,7 +27,9 @@
 	queueMost    = 1024
 	answerMost   = time.Second // the machine answers before that
 	forgetMost   = 5 * time.Second
+	leavePart    = 0.35 // of graceS, that a process stays for others to take over
 	figuresEvery = 10 * time.Second
+	lostAfter    = 3000.0   // milliseconds without a majority of the core after which that is told
 	mostChange   = 24 << 20 // bytes of a change
 	recallAfter  = 60 * time.Millisecond
 )
@@ -54,6 +56,7 @@
 	waiting map[uint64]event
 	looks   []func()
 	view    uint64
+	alone   bool     // no majority of the core is heard, and that was told
 	from    []string // seeds
 	counts  counts
 	diskState
@@ -125,6 +128,7 @@
 	traverse.Handle(server, s.confirm)
 	traverse.Handle(server, s.status)
 	traverse.Handle(server, s.forget)
+	traverse.Handle(server, s.rebuild)
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
 	return s.run(ctx)
@@ -135,10 +139,19 @@
 	tick, figures := time.NewTicker(tickEvery), time.NewTicker(figuresEvery)
 	defer tick.Stop()
 	defer figures.Stop()
+	ending := ctx.Done()
+	var over <-chan time.Time
 	for {
 		var out cairn.Out
 		select {
-		case <-ctx.Done():
+		case <-ending:
+			if s.lost != nil {
+				return s.close() // it is in no chain any more
+			}
+			ending, over = nil, time.After(time.Duration(s.set.Bounds.GraceS*leavePart*float64(time.Second)))
+			s.step(event{Event: cairn.Event{Leave: true}}, &out)
+		case <-over:
+			s.log.Warn().Msg("ends though the chain can't do without it")
 			return s.close()
 		case <-figures.C:
 			s.log.Info().Interface("counts", s.counts).Interface("sent", traverse.Sent()).Int64("diskBytes", s.size).Str("status", s.standing()).
@@ -172,6 +185,9 @@
 		} else if err != nil {
 			return nil // what is under way on the disk may hang for ever
 		}
+		if over != nil && s.machine != nil && s.machine.Left() {
+			return s.close()
+		}
 	}
 }
 
@@ -237,6 +253,14 @@
 		s.view = view.No
 		s.log.Info().Uint64("view", view.No).Strs("chain", addrs(view.Chain)).Strs("core", addrs(view.Core)).Msg("view")
 	}
+	if lost := s.machine.Status().Lost; lost > lostAfter && !s.alone {
+		s.alone = true
+		s.log.Error().Strs("core", addrs(view.Core)).Strs("hears", addrs(s.machine.Status().Hears)).
+			Msg("no majority of the core is heard: orders are refused until one is, or the core is rebuilt")
+	} else if lost == 0 && s.alone {
+		s.alone = false
+		s.log.Info().Msg("a majority of the core is heard again")
+	}
 	if out.Compact {
 		return s.compact(ctx)
 	}
@@ -301,6 +325,10 @@
 			return r, nil
 		case cairn.Unavailable:
 			return r, traverse.Errorf(traverse.Unavailable, "the chain takes nothing now")
+		case cairn.Overtaken:
+			return r, traverse.Errorf(traverse.Stale, "the zone was changed meanwhile")
+		case cairn.Refused:
+			return r, traverse.Errorf(traverse.Conflict, "another order is committed under this number")
 		}
 		return r, traverse.Errorf(traverse.Unknown, "the chain did not answer in time")
 	case <-late.C:
@@ -314,7 +342,7 @@
 		return waymark.Entered{}, traverse.Errorf(traverse.Invalid, "a change of %d bytes", len(q.Change.Body))
 	}
 	id := s.lastID.Add(1)
-	_, err := s.put(ctx, event{Event: cairn.Event{Submit: &cairn.Submit{ID: id, Change: q.Change}}, id: id})
+	_, err := s.put(ctx, event{Event: cairn.Event{Submit: &cairn.Submit{ID: id, Change: q.Change, After: q.After}}, id: id})
 	return waymark.Entered{}, err
 }
 
@@ -331,12 +359,22 @@
 	if r.State != nil {
 		c.Last = r.State.Last
 		if r.State.Last.Seq > q.Have.Seq {
-			c.State = r.State
+			c.State = told(r.State)
 		}
 	}
 	return c, nil
 }
 
+// told is a state for who asks: the identities of configurations are the head's to judge by.
+func told(s *cairn.State) *cairn.State {
+	if s == nil {
+		return nil
+	}
+	out := *s
+	out.Past = nil
+	return &out
+}
+
 // forget has the core forget a machine that is gone for good.
 func (s *Store) forget(ctx context.Context, q waymark.Forget) (waymark.Forgotten, error) {
 	id := s.lastID.Add(1)
@@ -348,14 +386,32 @@
 	return waymark.Forgotten{Core: addrs(r.view.Core)}, nil
 }
 
+// rebuild has this machine begin a core of its own, from its copy.
+func (s *Store) rebuild(ctx context.Context, q waymark.Rebuild) (waymark.Rebuilt, error) {
+	id := s.lastID.Add(1)
+	r, err := s.put(ctx, event{Event: cairn.Event{Rebuild: &cairn.Rebuild{ID: id, Last: q.Last}}, id: id})
+	if err != nil {
+		return waymark.Rebuilt{}, err
+	}
+	s.log.Warn().Uint64("view", r.view.No).Msg("the core is rebuilt from this copy by an order")
+	return waymark.Rebuilt{View: r.view.No}, nil
+}
+
 // standing is how the machine stands, in words. On the loop.
 func (s *Store) standing() string {
 	if s.down() {
 		return s.downFor()
 	}
 	st := s.machine.Status()
-	return fmt.Sprintf("%s, holds %d, committed %d, leases %.0f ms, hears %v", st.Role, st.Last.Seq, st.Committed.Seq, st.Leased,
-		addrs(st.Hears))
+	copy, majority := "", ""
+	if st.Whole {
+		copy = ", whole"
+	}
+	if st.Lost > 0 {
+		majority = fmt.Sprintf(", no majority of the core for %.0f ms", st.Lost)
+	}
+	return fmt.Sprintf("%s, holds %d.%d%s, committed %d, leases %.0f ms, hears %v%s", st.Role, st.Last.View, st.Last.Seq, copy, st.Committed.Seq,
+		st.Leased, addrs(st.Hears), majority)
 }
 
 // newerView is a view, if it is newer than the one held.
@@ -374,11 +430,11 @@
 	r, err := s.put(soon, e)
 	cancel()
 	if err == nil {
-		return waymark.Confirmed{View: newerView(r.view, 0), Last: r.State.Last, State: r.State}, nil
+		return waymark.Confirmed{View: newerView(r.view, 0), Last: r.State.Last, State: told(r.State)}, nil
 	}
 	got := make(chan waymark.Confirmed, 1)
 	look := event{look: func() {
-		got <- waymark.Confirmed{View: newerView(s.known.view, 0), State: s.known.state, Recalled: true}
+		got <- waymark.Confirmed{View: newerView(s.known.view, 0), State: told(s.known.state), Recalled: true}
 	}}
 	select {
 	case s.events <- look:
