--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -76,6 +76,7 @@
 	seeds     []string
 	known     []string           // other bothies that gatekeepers may sign with
 	guests    map[string]float64 // when bothies outside the core last spoke
+	places    map[string]string  // the settings' zones, with their regions
 	state     cairn.State
 	packed    []byte // the state's configuration, as it travels
 	parsed    *timetable.Timetable
@@ -159,7 +160,7 @@
 }
 
 func (b *Bothy) setSeeds(set *trailhead.Settings) {
-	b.seeds = set.Seeds(bothyDock)
+	b.seeds, b.places = set.Seeds(bothyDock), set.Zones
 	b.electorate()
 }
 
