--- a/internal/link/match_test.go
+++ b/internal/link/match_test.go
@@ -174,28 +174,45 @@
 	}
 }
 
-// TestALinkIsNotUsedPastItsRest: who wakes from a freeze has requests before its sweep, and links that
-// rested for all of it.
-func TestALinkIsNotUsedPastItsRest(t *testing.T) {
-	quiet, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer syscall.Close(quiet[0])
-	defer syscall.Close(quiet[1])
-	for _, c := range []struct {
+// TestALinkIsLookedAtBeforeItIsUsedAgain: who wakes from a freeze has requests before its sweep and
+// before it has read what came: a link that rested for all of it, and one on which something has come, be
+// it bytes or its end, carries none of them.
+func TestALinkIsLookedAtBeforeItIsUsedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
 		rest float64
+		come func(worker int) error
 		used bool
-	}{{4000, true}, {20000, false}} {
-		w := newMatching()
-		w.fleet.Execute(execution(3, 1, 0))
-		first := w.up()
-		first.fd = quiet[0]
-		first.end.traffic(answerOf("3", "x"))
-		w.clock.Set(w.clock.Now() + c.rest)
-		w.fleet.Execute(execution(4, 1, 0))
-		if used := len(w.dials) == 0; used != c.used || first.closed == c.used {
-			t.Errorf("after %.0f ms: used %t, closed %t", c.rest, used, first.closed)
-		}
+	}{
+		"rested for a while":            {rest: 4000, used: true},
+		"rested for longer than it may": {rest: 20000},
+		"bytes have come": {rest: 4000, come: func(worker int) error {
+			_, err := syscall.Write(worker, []byte("H"))
+			return err
+		}},
+		"its end has come": {rest: 4000, come: func(worker int) error { return syscall.Shutdown(worker, syscall.SHUT_WR) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer syscall.Close(pair[0])
+			defer syscall.Close(pair[1])
+			w := newMatching()
+			w.fleet.Execute(execution(3, 1, 0))
+			first := w.up()
+			first.fd = pair[0]
+			first.end.traffic(answerOf("3", "x"))
+			w.clock.Set(w.clock.Now() + c.rest)
+			if c.come != nil {
+				if err := c.come(pair[1]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			w.fleet.Execute(execution(4, 1, 0))
+			if used := len(w.dials) == 0; used != c.used || first.closed == c.used {
+				t.Errorf("used %t, closed %t", used, first.closed)
+			}
+		})
 	}
 }
--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -241,7 +241,7 @@
 		old:   "		got <- frame{Kind: Unknown, Reason: \"the connection to \" + p.addr + \" has ended\"}\n",
 		wrong: "		got <- frame{Kind: Unavailable, Reason: \"the connection to \" + p.addr + \" has ended\"}\n", tests: "TestAFaultAtEachByteOfTheFrames"},
 	{corner: "answers and callers", name: "a link is used however long it has rested", file: "internal/link/serial.go",
-		old: " || rest > l.fleet.idleMost)", wrong: ")", tests: "TestALinkIsNotUsedPastItsRest"},
-	{corner: "answers and callers", name: "a link is not looked at before it is used again", file: "internal/link/serial.go", in: "internal/switchback",
-		old: " && l.usable() && unheard(l.c) {", wrong: " && l.usable() {", tests: "TestAFaultAtEachByteOfAnAnswer"},
+		old: " || rest > l.fleet.idleMost)", wrong: ")", tests: "TestALinkIsLookedAtBeforeItIsUsedAgain"},
+	{corner: "answers and callers", name: "a link is not looked at before it is used again", file: "internal/link/serial.go",
+		old: " && l.usable() && unheard(l.c) {", wrong: " && l.usable() {", tests: "TestALinkIsLookedAtBeforeItIsUsedAgain"},
 }
