--- a/internal/cairn/replace_test.go
+++ b/internal/cairn/replace_test.go
@@ -53,54 +53,57 @@
 // lost, and one more loss is borne.
 func TestTwoReplacementsAndACut(t *testing.T) {
 	for _, machines := range []int{3, 4} {
-		t.Run(fmt.Sprint(machines), func(t *testing.T) {
-			t.Parallel()
-			runs := 0
-			for first := range machines {
+		for first := range machines {
+			t.Run(fmt.Sprintf("%d of %d first", first+1, machines), func(t *testing.T) {
+				t.Parallel()
+				runs := 0
 				for second := range machines {
 					for notice := range 4 {
 						for cut := range machines + 1 {
 							for when := range 3 {
-								name := fmt.Sprintf("replaced %d and %d, notice %d, cut %d at %d", first, second, notice, cut, when)
-								w := small(t, uint64(runs), machines, faults{})
-								step := func(i int) {
-									if when == i {
-										w.isolate(w.nodes[cut%len(w.nodes)], 2600)
-									}
-								}
-								step(0)
-								w.put(w.nodes[1])
-								w.calmly(200)
-								w.swap(first, notice&1 != 0)
-								w.run(w.now + 350)
-								step(1)
-								w.settle(t, name)
-								w.put(w.nodes[0])
-								w.swap(second, notice&2 != 0)
-								w.run(w.now + 350)
-								step(2)
-								w.settle(t, name)
-								w.run(w.now + 400)
-								w.settled()
-								assert.NilError(t, w.broken, name)
-								assert.Equal(t, w.spare(w.decided[w.maxView]), w.tol, name)
-								w.kill(w.nodes[runs%len(w.nodes)])
-								w.run(w.now + 2500)
-								w.progress(name)
-								assert.NilError(t, w.broken, name)
+								replaceTwo(t, uint64(100*first+runs), machines, first, second, notice, cut, when)
 								runs++
 							}
 						}
 					}
 				}
-			}
-			t.Logf("%d runs", runs)
-		})
+				t.Logf("%d runs", runs)
+			})
+		}
 	}
 }
 
-// calmly lets time go by, and what was cut off heal.
-func (w *world) calmly(d float64) { w.run(w.now + d) }
+// replaceTwo is one of those runs. The bits of notice say which of the two has its successor first.
+func replaceTwo(t *testing.T, seed uint64, machines, first, second, notice, cut, when int) {
+	t.Helper()
+	name := fmt.Sprintf("replaced %d and %d, notice %d, cut %d at %d", first, second, notice, cut, when)
+	w := small(t, seed, machines, faults{})
+	step := func(i int) {
+		if when == i {
+			w.isolate(w.nodes[cut%len(w.nodes)], 2600)
+		}
+	}
+	step(0)
+	w.put(w.nodes[1])
+	w.run(w.now + 200)
+	w.swap(first, notice&1 != 0)
+	w.run(w.now + 350)
+	step(1)
+	w.settle(t, name)
+	w.put(w.nodes[0])
+	w.swap(second, notice&2 != 0)
+	w.run(w.now + 350)
+	step(2)
+	w.settle(t, name)
+	w.run(w.now + 400)
+	w.settled()
+	assert.NilError(t, w.broken, name)
+	assert.Equal(t, w.spare(w.decided[w.maxView]), w.tol, name)
+	w.kill(w.nodes[int(seed)%len(w.nodes)])
+	w.run(w.now + 2500)
+	w.progress(name)
+	assert.NilError(t, w.broken, name)
+}
 
 // settle waits until nothing is cut, all seats are taken and nothing counts as lost.
 func (w *world) settle(t *testing.T, name string) {
@@ -142,10 +145,10 @@
 // that was acknowledged is lost, and as many losses are borne as before.
 func TestASecondLossDuringAMend(t *testing.T) {
 	for _, machines := range []int{3, 5} {
-		t.Run(fmt.Sprint(machines), func(t *testing.T) {
-			t.Parallel()
-			runs := 0
-			for _, first := range losses {
+		for _, first := range losses {
+			t.Run(fmt.Sprintf("%s, %d machines", first.name, machines), func(t *testing.T) {
+				t.Parallel()
+				runs := 0
 				for _, second := range losses {
 					if second.good && machines == 3 {
 						continue
@@ -173,9 +176,9 @@
 						}
 					}
 				}
-			}
-			t.Logf("%d runs", runs)
-		})
+				t.Logf("%d runs", runs)
+			})
+		}
 	}
 }
 
