--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -231,7 +231,8 @@
 	return slices.Clone(m.councils[0].ids), m.councils[0].edition
 }
 
-// Electorate tells who votes; editions number the electorates. It is to be called whenever the view is confirmed, and `asked` is
+// Electorate tells who votes; editions number the electorates from 1 on, and 0 is one that was agreed before they
+// were numbered. It is to be called whenever the view is confirmed, and `asked` is
 // when the question was sent whose answer confirmed it: the view was in force at some moment
 // since. Without that a bothy that is cut off could go on for ever under an old view, while
 // others have moved two views ahead. Editions should be told one by one: after a gap, nothing
@@ -258,7 +259,7 @@
 		if edition > last.edition+1 {
 			m.open = now + m.trust
 		}
-	} else if m.alone = now - ageless; !m.first && edition > 1 && (shrunk > 0 && edition != m.epoch || !slices.Equal(ids, m.earlier)) {
+	} else if m.alone = now - ageless; !m.first && edition != 1 && (shrunk > 0 && edition != m.epoch || !slices.Equal(ids, m.earlier)) {
 		// Those before it are unknown, and others may still trust them.
 		m.open, m.alone = now+m.trust, now+m.trust
 	}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -126,6 +126,7 @@
 		{"not named", true, []string{"b", "c"}, 1, "b", 0, 0},
 		{"after a start", false, []string{"a"}, 1, "", 1500, 2000},
 		{"after a start under views it doesn't know", false, []string{"a"}, 4, "", 3000, 3500},
+		{"after a start under one that has no number yet", false, []string{"a"}, 0, "", 3000, 3500},
 	} {
 		m := New("a", 3, 0, 0, c.first, "roster")
 		stood := 0.0
