--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -87,6 +87,7 @@
 	coresMark uint64
 	kept      []string // the electorate on the disk
 	keptEpoch uint64
+	keeping   keeping
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -96,6 +97,7 @@
 	life      uint64
 	told      map[string]toldWhole // by the address of who was told
 	counts    counts
+	strikes   strikes
 	polled    float64
 	unread    bool // the platform's list has not been read for long, and that was told
 	stopped   bool
@@ -115,7 +117,7 @@
 
 // counts is what has happened since the start.
 type counts struct {
-	Signs, Resolves, Puts, Refused, Failed, Polls, PollsFailed, Confirms, ConfirmsFailed, Draws, Probes uint64
+	Signs, Resolves, Puts, Refused, Conflicts, Failed, Polls, PollsFailed, Confirms, ConfirmsFailed, Draws, Probes uint64
 }
 
 // New makes a bothy. It also stands for the duties named.
@@ -136,6 +138,7 @@
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.patience = callMost
+	b.keeping.write = keep
 	b.setSeeds(set)
 	return b
 }
@@ -377,6 +380,7 @@
 		tellings = append(tellings, t)
 	}
 	g := waymark.Gossip{From: b.set.Inner(bothyDock), Zone: b.set.Zone, Roster: b.roster.version}
+	g.Struck, _ = b.strikes.list()
 	b.mu.Unlock()
 	var all sync.WaitGroup
 	for _, x := range tellings {
@@ -454,6 +458,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.roster.hear(b.now(), &r) {
+		b.strikes.settle(b.roster)
 		b.changed()
 	}
 }
@@ -469,9 +474,17 @@
 	}
 	p := b.peers[g.From]
 	h := waymark.Heard{Roster: b.roster.version, Life: b.life}
+	b.strikes.newest = max(b.strikes.newest, g.Roster)
+	if b.strikes.hear(b.roster, g.Struck) {
+		b.changed()
+	}
 	b.mu.Unlock()
 	if p != nil && g.Roster > h.Roster {
-		go b.fetch(context.WithoutCancel(ctx), p, g.Roster)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callMost) // a peer that is frozen holds its callers
+			defer cancel()
+			b.fetch(ctx, p, g.Roster)
+		}()
 	}
 	return h, nil
 }
