A seat that is silent goes before a leaver's

Now a leaver's seat is given only when none is silent. TestASilentSeatGoesBeforeALeavers fails on the code before.

--- a/internal/cairn/replace_test.go
+++ b/internal/cairn/replace_test.go
@@ -408,3 +408,24 @@
 	assert.NilError(t, w.broken)
 	assert.Assert(t, next.m.place() == 2 && next.m.isWhole(), "%+v", next.m.Status())
 }
+
+// TestASilentSeatGoesBeforeALeavers: one is gone for good, and while its successor waits another member is restarted.
+// The successor gets the seat of the one that is gone, whenever the restart comes. A leaver's seat went first, and the one
+// that was gone kept its own for good (found by seed 20393 of four machines).
+func TestASilentSeatGoesBeforeALeavers(t *testing.T) {
+	for _, when := range []float64{100, 500, 1000, 1500, 1900} {
+		for at := range 3 {
+			w := small(t, uint64(at), 4, faults{})
+			gone, other := w.nodes[3], w.nodes[at]
+			w.replace(gone, 50)
+			w.run(w.now + when)
+			w.end(other, func() { w.after(300, func() { w.boot(other, false) }) })
+			w.run(w.now + 6000)
+			w.settled()
+			v := w.decided[w.maxView]
+			assert.NilError(t, w.broken, "%.0f ms", when)
+			assert.Assert(t, slices.Contains(v.Core, other.m.Self()), "%.0f ms: %v", when, v.Core)
+			assert.Equal(t, w.spare(v), 1)
+		}
+	}
+}
--- a/internal/cairn/seats.go
+++ b/internal/cairn/seats.go
@@ -7,8 +7,8 @@
 //
 //   - The machines of the very first start that the settings of none named add a seat each.
 //   - A machine with an empty disk gets the seat of its own address.
-//   - Any other newcomer is filled and waits at the ready. It gets a seat that is free, else that of a member
-//     that is leaving, else that of the member that nobody has heard for longest, and for Vacant at least.
+//   - Any other newcomer is filled and waits at the ready. It gets a seat that is free, else that of the member
+//     that nobody has heard for longest, and for Vacant at least, else that of a member that is leaving.
 //
 // A seat is never given up to nobody: a member that is away counts until another one is there in its place. So
 // whichever members are gone for good, no view leaves fewer losses to bear than the one before it. Who lost a
@@ -44,20 +44,29 @@
 	return b.Leaving
 }
 
-// vacant is the member whose seat another may have: one that is leaving, or the one that has been silent for
-// longest, and for that long at least.
+// vacant is the member whose seat another may have: the one that has been silent for longest, and for that long at
+// least; else one that is leaving. While one has fallen silent a moment ago a leaver keeps its seat: it may be back soon,
+// and the silent one may not.
 func (m *Machine) vacant(chain []Ident, after float64) (gone *Ident) {
+	var leaver *Ident
+	doubt := false
 	for _, x := range m.view.Core {
 		if slices.Contains(chain, x) || x == m.self && !m.leaving {
 			continue
 		}
-		if m.leaves(x) {
-			return &x
-		}
-		if s := m.silence(x); !m.live(x) && s >= after && (m.unheard(x) || m.faults.grabs) {
+		silent := x != m.self && !m.live(x) && (m.unheard(x) || m.faults.grabs)
+		switch s := m.silence(x); {
+		case silent && s >= after:
 			gone, after = &x, s
+		case m.leaves(x):
+			leaver = &x
+		case silent:
+			doubt = true
 		}
 	}
+	if gone == nil && !doubt {
+		return leaver
+	}
 	return gone
 }
 
