--- a/internal/cairn/rebuild.go
+++ b/internal/cairn/rebuild.go
@@ -10,13 +10,7 @@
 
 // counted notes since when no majority of the core has been heard.
 func (m *Machine) counted() {
-	n := 0
-	for _, x := range m.view.Core {
-		if m.live(x) {
-			n++
-		}
-	}
-	if m.view.No == 0 || m.majority(n) {
+	if m.view.No == 0 || m.hearsMajority() {
 		m.alone = 0
 	} else if m.alone == 0 {
 		m.alone = m.now
--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -46,6 +46,17 @@
 
 func (m *Machine) majority(n int) bool { return 2*n > len(m.view.Core) }
 
+// hearsMajority says whether there is a path both ways with a majority of the core.
+func (m *Machine) hearsMajority() bool {
+	n := 0
+	for _, x := range m.view.Core {
+		if m.live(x) {
+			n++
+		}
+	}
+	return m.majority(n)
+}
+
 // isWhole says whether this machine holds all that was acknowledged in earlier views (and, as a
 // member of the chain, in this one). Only such members may lead a later chain: a joiner in a chain
 // that has never opened may lack what came after it was filled.
@@ -165,13 +176,7 @@
 // wanted is the view that ought to come next, if there is one and it may be formed. Members that are about to
 // leave are let go where a chain can do without them.
 func (m *Machine) wanted() (View, bool) {
-	alive := 0
-	for _, x := range m.view.Core {
-		if m.live(x) {
-			alive++
-		}
-	}
-	if !m.majority(alive) {
+	if !m.hearsMajority() {
 		return View{}, false
 	}
 	if slices.ContainsFunc(m.view.Chain, m.leaves) {
