Cold workers' budget is granted by one registry under leases, and counts as sends leave

Cause: gatekeepers divided what a cold worker bears by the members that the registry they signed with told them of. Beside it a send counted from its decision, while those that wait for a connection leave up to 0.6 s later. Change: internal/slowstart, a division replaced in two steps under the leases of the duty that allots quotas; sends count until a second after they have left, and are looked at again as they leave; a registry tells of members only while it is in touch with all others or with a majority of the core for a lapse; the slack for further tries grows a window late and is none while nobody knows the members; workers of a zone that was taken back are presumed cold for coldS. TestSettled's last line demanded the fault (settled though the only other was never heard): replaced by its contrary and a test of a book that is cut off. The stand of the proxy's tests tells it that it is alone: it has no slack for tries otherwise.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -162,6 +162,8 @@
 	deciding bool
 	waiting  []func()               // events that came while a decision was being made
 	known    map[policy.Server]bool // the listed workers, and whether they take work
+
+	slowStart bool // cold workers' sends count from when they leave
 }
 
 // Config is what a Gatekeeper is made of.
@@ -193,6 +195,7 @@
 		clock: c.Clock, decide: module(c), fleet: c.Fleet, counter: c.Counter, wake: c.Wake,
 		requests: map[uint32]*Request{}, names: map[string]bool{}, known: map[policy.Server]bool{}, counts: map[uint64][]*Count{},
 		patience: millis(c.Settings.CounterTimeout), classes: c.Settings.Classes, recorder: c.Recorder, meter: c.Meter,
+		slowStart: c.Settings.ColdSends != nil,
 	}
 	if g.patience <= 0 {
 		g.patience = 50
@@ -513,6 +516,14 @@
 	if g.meter != nil {
 		g.meter.Wrote()
 	}
+	if g.slowStart {
+		g.enter(func(now policy.Micros) { g.decide.Left(now, x.Request.id, x.n) })
+	}
+}
+
+// MayLeave tells whether an execution that has waited for a link may still be written to its worker.
+func (g *Gatekeeper) MayLeave(x *Execution) bool {
+	return !g.slowStart || g.decide.MayLeave(micros(g.clock.Now()), x.Request.id, x.n)
 }
 
 // Filled tells that a request's last byte has come, after the request was taken.
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -59,7 +59,9 @@
 	Beside(now policy.Micros, d policy.Draw)
 	Filled(now policy.Micros, id uint32)
 	Progress(now policy.Micros, at policy.Server)
-	// Recorders are not told of these two: what a fleet believes together is for the whole system.
+	// Recorders are not told of these: they matter to the whole system only.
+	Left(now policy.Micros, id uint32, attempt int)
+	MayLeave(now policy.Micros, id uint32, attempt int) bool
 	Sightings(now policy.Micros) []policy.Sighting
 	Believe(now policy.Micros, do policy.Host, of map[policy.Server]policy.Belief)
 }
--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -17,6 +17,7 @@
 	"foxwood/internal/cairn"
 	"foxwood/internal/cistern"
 	"foxwood/internal/guestbook"
+	"foxwood/internal/slowstart"
 	"foxwood/internal/snowline"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
@@ -71,6 +72,7 @@
 	warden    *warden.Machine
 	roster    *roster
 	allot     *cistern.Allotter
+	slowStart *slowstart.Coordinator
 	peers     map[string]*traverse.Peer // the other bothies
 	zones     map[string]string         // theirs
 	seeds     []string
@@ -138,6 +140,7 @@
 	b.warden.Remember(kept, epoch)
 	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
+	b.slowStart = slowstart.New(sliceLease)
 	b.patience = callMost
 	b.keeping.write = keep
 	b.setSeeds(set)
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -57,7 +57,7 @@
 	now := b.now()
 	a.AsOf = b.asked - came
 	a.Stale = b.asked == 0 || now-b.asked > staleAfter || b.waits()
-	a.Settled = b.book.Settled(now, b.core)
+	a.Settled = b.settled(now)
 	a.Again = b.book.Again(now, q.Guest.Station, b.set.Bounds.QuotaWindowS*1e3+cistern.KickKeepMs)
 	roll := b.book.Members(now)
 	some = b.relay(now, roll, &q, &a)
@@ -81,6 +81,14 @@
 	return a, some || a.Stale
 }
 
+// settled tells whether the members are whole here. The lock is held.
+func (b *Bothy) settled(now float64) bool {
+	if len(b.core) > 0 {
+		return b.book.Settled(now, b.core)
+	}
+	return b.book.Settled(now, b.known) // what the seeds name: the core is not known yet
+}
+
 // viewer is who is told of the others: what they are told goes by it and the roll alone.
 type viewer struct{ station, zone, region string }
 
@@ -169,11 +177,12 @@
 	for name, d := range q.Demand {
 		demand[name] = float64(d)
 	}
-	got := b.allot.Ask(now, guestID(q.Station, q.Life), q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
+	id := guestID(q.Station, q.Life)
+	got := b.allot.Ask(now, id, q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
 	if got == nil {
 		return waymark.Drawn{}, traverse.Errorf(traverse.Stale, "an asking that was overtaken")
 	}
-	return waymark.Drawn{Slices: waymark.Pack(got), Lease: sliceLease}, nil
+	return waymark.Drawn{Slices: waymark.Pack(got), Lease: sliceLease, SlowStart: b.slowStart.Ask(now, id)}, nil
 }
 
 // terms brings the allotter the tenants' quotas. The lock is held.
@@ -212,11 +221,13 @@
 		b.levelDuty(d.Duty, d.Term, true)
 		if d.Duty == dutySlices {
 			b.allot.Begin(b.now(), d.VacantMs)
+			b.slowStart.Begin(b.now(), d.VacantMs)
 		}
 	}
 	for _, d := range out.Vacant {
 		if d.Duty == dutySlices {
 			b.allot.Vacant(d.VacantMs)
+			b.slowStart.Vacant(d.VacantMs)
 		}
 	}
 	for _, d := range out.Lost {
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -203,6 +203,20 @@
 	assert.Assert(t, most > 250, "%d", most)
 }
 
+// TestColdStarts: a day of cold starts has returns of both kinds, and troubles around them.
+func TestColdStarts(t *testing.T) {
+	s, k := given(t)
+	seen := map[string]int{}
+	for seed := range uint64(10) {
+		for _, e := range draw(s, k, "cold", seed, 60).entries {
+			seen[e.kind()]++
+		}
+	}
+	assert.Assert(t, seen["cold_return"] >= 40 && seen["evacuate"] >= 15, "%v", seen)
+	assert.Assert(t, seen["core_cut"] >= 10 && seen["herd_kill"] > 0, "%v", seen)
+	assert.Equal(t, seen["burst"], 0, "the bench of the test has none")
+}
+
 // TestWithout: what is left out does not come, nor breaks a profile that is about it.
 func TestWithout(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/guestbook/guestbook.go
+++ b/internal/guestbook/guestbook.go
@@ -21,6 +21,9 @@
 	keepMs = 30_000
 	// partingMs is how long a page repeats that a guest left, for pages that get lost.
 	partingMs = 5000
+	// freshMs is how long another bothy counts as in touch without a page: two that were lost, and less than it takes
+	// for sessions that it told of to lapse.
+	freshMs = 700
 	// driftPart is by how much of the time two clocks may run apart.
 	driftPart = 0.001
 )
@@ -110,6 +113,7 @@
 type teller struct {
 	life, serial uint64
 	at           float64
+	since        float64 // it has been in touch
 	dead         map[uint64]float64
 	ahead        float64 // how far our clock is ahead of its, by the page that was fastest here
 	timed        bool
@@ -208,6 +212,9 @@
 		t.life, t.timed = p.Life, false
 	}
 	late := t.late(now, p.At)
+	if t.at == 0 || now-t.at > freshMs {
+		t.since = now
+	}
 	t.serial, t.at = p.Serial, now
 	for _, s := range p.Sessions {
 		b.note(now, now-late-max(0, s.AgeMs), s.Guest, s.Gone)
@@ -352,19 +359,29 @@
 	return names
 }
 
-// Settled tells whether the roll may be passed on: all the other bothies were heard, or a lapse
-// has gone by since the start. A roll told earlier would lack most members, and gatekeepers
-// would divide what cold workers bear by too few.
+// Settled tells whether the roll may be passed on: all the other bothies are in touch, or a majority of them all has
+// been for a lapse. A roll told otherwise may lack most members, as those that sign elsewhere have lapsed here or
+// were not heard of yet, and gatekeepers would divide what they share by too few.
 func (b *Book) Settled(now float64, bothies []string) bool {
-	if now-b.born >= b.lapse {
-		return true
-	}
+	others, inTouch := 0, make([]float64, 0, len(bothies))
 	for _, name := range bothies {
-		if name != b.self && b.tellers[name] == nil {
-			return false
+		if name == b.self {
+			continue
+		}
+		others++
+		if t := b.tellers[name]; t != nil && now-t.at <= freshMs {
+			inTouch = append(inTouch, t.since)
 		}
 	}
-	return true
+	if len(inTouch) == others {
+		return true
+	}
+	needed := (others + 1) / 2 // with this one they are more than half
+	if len(inTouch) < needed {
+		return false
+	}
+	slices.Sort(inTouch)
+	return now-inTouch[needed-1] >= b.lapse
 }
 
 // AsOf is a time as of which the roll has all members: when the one of the other bothies was
--- a/internal/guestbook/guestbook_test.go
+++ b/internal/guestbook/guestbook_test.go
@@ -152,7 +152,41 @@
 	assert.Assert(t, !b.Settled(1100, all))
 	b.Hear(1200, Page{From: "b2", Life: 1, Serial: 1})
 	assert.Assert(t, b.Settled(1200, all))
-	assert.Assert(t, b.Settled(2500, []string{"b3"}))
+	assert.Assert(t, !b.Settled(2500, []string{"b3"}), "one that was never heard is all the others there are")
+	assert.Assert(t, b.Settled(2500, []string{"b1"}), "there are no others")
+}
+
+// TestABookThatIsCutOffIsNotSettled: its roll lacks those that sign elsewhere, from the cut until a lapse after the
+// majority is in touch again or until all are.
+func TestABookThatIsCutOffIsNotSettled(t *testing.T) {
+	all := []string{"b1", "b2", "b3", "b4"}
+	b := New("b1", 1, 0, 1500)
+	serial := uint64(0)
+	hear := func(now float64, from ...string) {
+		serial++
+		for _, name := range from {
+			b.Hear(now, Page{From: name, Life: 1, Serial: serial})
+		}
+	}
+	for now := 0.0; now < 3000; now += 300 {
+		hear(now, "b2", "b3", "b4")
+	}
+	assert.Assert(t, b.Settled(2900, all))
+	for now := 3000.0; now < 6000; now += 300 {
+		hear(now, "b2", "b3") // one is lost
+		assert.Assert(t, b.Settled(now, all), "%v", now)
+	}
+	hear(6000, "b2") // half of them are not enough, once the other is missed
+	assert.Assert(t, !b.Settled(5700+freshMs+1, all))
+	assert.Assert(t, !b.Settled(20_000, all), "nobody has been heard for long")
+	for now := 20_000.0; now < 21_500; now += 300 {
+		hear(now, "b2", "b3")
+		assert.Assert(t, !b.Settled(now, all), "%v: those that sign with the fourth may not have been told of", now)
+	}
+	hear(21_500, "b2", "b3")
+	assert.Assert(t, b.Settled(21_500, all))
+	hear(40_000, "b2", "b3", "b4")
+	assert.Assert(t, b.Settled(40_000, all), "all are in touch")
 }
 
 func TestAsOf(t *testing.T) {
--- a/internal/link/fleet.go
+++ b/internal/link/fleet.go
@@ -132,6 +132,8 @@
 	Done(x *gatekeeper.Execution, o gatekeeper.Outcome)
 	// Wrote tells that the last byte of an execution has left.
 	Wrote(x *gatekeeper.Execution)
+	// MayLeave tells whether an execution that has waited for a link may still be written.
+	MayLeave(x *gatekeeper.Execution) bool
 	// Progress tells that bytes of an execution move.
 	Progress(x *gatekeeper.Execution)
 	// Begun tells that an answer has begun to flow to its caller, Finish how that ended,
@@ -242,6 +244,15 @@
 	f.core.Done(x, gatekeeper.Outcome{Status: st})
 }
 
+// mayLeave tells whether an execution that has waited may be written, and ends it as one that never ran if not.
+func (f *Fleet) mayLeave(x *gatekeeper.Execution) bool {
+	if f.core.MayLeave(x) {
+		return true
+	}
+	f.end(x, policy.Moot)
+	return false
+}
+
 // room tells whether another link may be opened, and closes one at rest for it where
 // that is what it takes.
 func (f *Fleet) room() bool {
--- a/internal/link/model_test.go
+++ b/internal/link/model_test.go
@@ -70,6 +70,7 @@
 
 // Done implements Core.
 func (w *world) Wrote(*gatekeeper.Execution)                     {}
+func (w *world) MayLeave(*gatekeeper.Execution) bool             { return true }
 func (w *world) Progress(*gatekeeper.Execution)                  {}
 func (w *world) Begun(*gatekeeper.Execution, gatekeeper.Outcome) {}
 func (w *world) Finish(*gatekeeper.Request, gatekeeper.End)      {}
--- a/internal/link/serial.go
+++ b/internal/link/serial.go
@@ -194,6 +194,10 @@
 			continue
 		}
 		s.queue = slices.DeleteFunc(s.queue, func(o *gatekeeper.Execution) bool { return o == x })
+		if !f.mayLeave(x) {
+			l.rest()
+			continue
+		}
 		l.start(x)
 	}
 	soon, now := 0, f.clock.Now()
@@ -254,9 +258,11 @@
 	l.c = c
 	l.set.openings--
 	l.fleet.openings--
-	if l.usable() && len(l.set.queue) > 0 {
-		l.start(l.set.next())
-		return
+	for l.usable() && len(l.set.queue) > 0 {
+		if x := l.set.next(); l.fleet.mayLeave(x) {
+			l.start(x)
+			return
+		}
 	}
 	l.rest()
 }
--- a/internal/switchback/placing_test.go
+++ b/internal/switchback/placing_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cistern"
+	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -535,12 +536,42 @@
 	s.on(func() {
 		x := s.pools["a"]
 		x.dest.ColdPerS = 10
-		assert.Check(t, x.coldSends(7) == 0, "nobody knows how many share it")
-		sum := 0
-		for place := range 6 {
-			s.place, s.members = place, 6
+		assert.Check(t, x.coldSends(7) == 0, "nobody has given it a part")
+		s.place, s.members = 0, 1
+		assert.Check(t, x.coldSends(7) == 0, "what it was told of the members gives it none")
+		now, sum := s.clock.Now(), 0
+		for index := range 6 {
+			s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Index: index, Count: 6}}, now, 60_000)
 			sum += x.coldSends(7)
 		}
 		assert.Check(t, sum > 0 && sum <= 20, "%d sends a second", sum)
+		s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Count: 1}}, now-60_000, 60_000)
+		assert.Check(t, x.coldSends(7) == 0, "its lease is over")
 	})
 }
+
+// TestAZoneThatIsTakenBackIsCold: the list is late to tell that its workers have become so.
+func TestAZoneThatIsTakenBackIsCold(t *testing.T) {
+	s := open(t, "coldExcess=1.5", "coldSlack=5")
+	zoned := func(id, zone string) waymark.Worker {
+		return waymark.Worker{ID: id, Destination: "a", Addr: id + ":80", Zone: zone, Berths: 2}
+	}
+	s.hear(roll(1, zoned("i-1", "a1"), zoned("i-2", "a2")), table(t, 1, []course{{prefix: "/", to: "a"}}))
+	cold := func(id string) (ms float64) {
+		s.on(func() {
+			x := s.pools["a"]
+			x.dest.ColdPerS, x.dest.ColdS = 10, 3
+			ms = float64(x.coldUntil(s.workers[id]))/1000 - s.clock.Now()
+		})
+		return ms
+	}
+	s.hear(waymark.Signed{HasEvac: true, Evac: 5, Evacuated: []string{"a1"}}, nil)
+	assert.Assert(t, cold("i-1") <= 0)
+	s.hear(waymark.Signed{HasEvac: true, Evac: 6}, nil)
+	assert.Assert(t, cold("i-1") > 0 && cold("i-1") <= 3000, "%v ms", cold("i-1"))
+	assert.Assert(t, cold("i-2") <= 0, "its zone was never evacuated")
+	s.hear(changes(2, zoned("i-1", "a1")), nil)
+	assert.Assert(t, cold("i-1") > 0, "an old list ends it")
+	s.on(func() { s.takenBack["a1"] -= 3000 })
+	assert.Assert(t, cold("i-1") <= 0, "it is over")
+}
--- a/internal/switchback/pool.go
+++ b/internal/switchback/pool.go
@@ -37,7 +37,8 @@
 	idleMost   = 8000.0 // a link's rest, where the worker does not say
 	holdPart   = 0.22   // of the aim is a request held at most before it was ever sent
 	stepMicros = 20000
-	safeAfter  = 8 // expected latencies of silence after which a safe request is sent elsewhere
+	coldUsed   = 0.75 // of what a cold worker bears is used
+	safeAfter  = 8    // expected latencies of silence after which a safe request is sent elsewhere
 )
 
 // answerLimits bound no worker's answer that flows: an operator's limits are for what clients send.
@@ -110,10 +111,18 @@
 // of them together stay under what it bears.
 func (s *pool) coldSends(w policy.Server) int {
 	b := s.p.set.Bounds
-	if s.p.members == 0 { // nobody knows yet how many share it
-		return 0
+	budget := coldUsed * (s.dest.ColdPerS*b.ColdExcess + b.ColdSlack)
+	return s.p.slowStart.Sends(s.p.clock.Now(), budget, uint64(w))
+}
+
+// coldUntil is when a worker is no longer cold: by the list, or by the evacuation of its zone that was taken back, as
+// its workers may have become cold and the list is late to tell.
+func (s *pool) coldUntil(w *worker) policy.Micros {
+	back, ok := s.p.takenBack[w.Zone]
+	if !ok || s.dest.ColdPerS <= 0 {
+		return w.coldUntil
 	}
-	return policy.Share(s.dest.ColdPerS*b.ColdExcess+b.ColdSlack, s.p.members, s.p.place, uint64(w))
+	return max(w.coldUntil, policy.Micros((back+s.dest.ColdS*1000)*1000))
 }
 
 // place brings the pool's workers to what the roster and the evacuations say.
@@ -125,7 +134,7 @@
 			continue
 		}
 		e := policy.Entry{Server: policy.Server(hash(w.ID)), State: policy.Ready, Region: p.regionOf(w.Zone), Dear: p.dear(w.Zone),
-			ColdUntil: w.coldUntil}
+			ColdUntil: s.coldUntil(w)}
 		if w.Closing || p.evacuated[w.Zone] || w.wrong {
 			e.State = policy.Draining
 		}
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -19,6 +19,7 @@
 	"foxwood/internal/cistern"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
+	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
@@ -74,6 +75,8 @@
 	table     *timetable.Timetable
 	evac      uint64
 	evacuated map[string]bool
+	takenBack map[string]float64 // when a zone's evacuation was last taken back
+	slowStart slowstart.Lease    // our part of what cold workers bear
 	roster    uint64
 	workers   map[string]*worker
 	turns     map[string]uint64 // of the destinations' workers that are in force
@@ -123,7 +126,7 @@
 // New makes a proxy.
 func New(set *trailhead.Settings, log zerolog.Logger) (*Proxy, error) {
 	p := &Proxy{set: set, log: log, seed: rand.Uint64(), life: rand.Uint64(), clock: gatekeeper.NewSteadyClock(clockStart),
-		pools: map[string]*pool{}, evacuated: map[string]bool{}, workers: map[string]*worker{}, regions: map[string]int{},
+		pools: map[string]*pool{}, evacuated: map[string]bool{}, takenBack: map[string]float64{}, workers: map[string]*worker{}, regions: map[string]int{},
 		tenants: policy.NewTenants(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*traverse.Peer{},
 		seeds: make(chan []string, 1), limits: &http1.Limits{}, patience: tokenMost, connect: connectMax}
 	b := set.Bounds
--- a/internal/switchback/relay.go
+++ b/internal/switchback/relay.go
@@ -235,10 +235,7 @@
 			p.enforce(r.table)
 		}
 		if evac, zones := r.larder.Evacuated(); evac > p.evac {
-			p.evac, p.evacuated = evac, map[string]bool{}
-			for _, z := range zones {
-				p.evacuated[z] = true
-			}
+			p.evacuate(evac, zones)
 			replace = true
 		}
 		p.roster = r.larder.Heard()
@@ -253,6 +250,20 @@
 	return replace
 }
 
+// evacuate puts a list of evacuated zones in force, and notes which were taken back.
+func (p *Proxy) evacuate(number uint64, zones []string) {
+	before := p.evacuated
+	p.evac, p.evacuated = number, map[string]bool{}
+	for _, zone := range zones {
+		p.evacuated[zone] = true
+	}
+	for zone := range before {
+		if !p.evacuated[zone] {
+			p.takenBack[zone] = p.clock.Now()
+		}
+	}
+}
+
 // take puts a destination's workers in force, in the place of those it had.
 func (p *Proxy) take(name string, list []waymark.Worker) {
 	now := p.clock.Now()
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -218,7 +218,7 @@
 func (p *Proxy) among(place, n int) bool {
 	changed := place != p.place || n != p.members
 	p.place, p.members = place, n
-	p.tries.Members(n, place)
+	p.tries.Members(p.micros(), n, place)
 	for _, s := range p.order {
 		s.core.Among(place, n)
 	}
@@ -349,6 +349,7 @@
 			return
 		}
 		p.drawn = true
+		p.slowStart.Take(a.SlowStart, asked, a.Lease)
 		fresh := p.clock.Now()-asked <= cistern.TokensMs
 		of := make(map[string]policy.TenantSlice, len(a.Slices))
 		for name, s := range waymark.Unpack(a.Slices) {
--- a/internal/switchback/stand_test.go
+++ b/internal/switchback/stand_test.go
@@ -60,6 +60,7 @@
 	p, err := New(set, zerolog.Nop())
 	assert.NilError(t, err)
 	p.patience, p.connect = patience, 6e4
+	p.tries.Members(0, 1, 0) // else it has no part of the slack for further tries
 	ln, err := link.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	go ln.Accept(p.loop, func() *link.Client { return p.clients.Make() })
--- a/internal/waymark/waymark.go
+++ b/internal/waymark/waymark.go
@@ -9,6 +9,7 @@
 	"foxwood/internal/cairn"
 	"foxwood/internal/cistern"
 	"foxwood/internal/guestbook"
+	"foxwood/internal/slowstart"
 	"foxwood/internal/spur"
 )
 
@@ -197,6 +198,8 @@
 type Drawn struct {
 	Slices map[string]Slice `cbor:"1,keyasint,omitempty"`
 	Lease  float64          `cbor:"2,keyasint,omitempty"`
+	// SlowStart is the gatekeeper's part of what cold workers bear, for the same lease.
+	SlowStart slowstart.Grant `cbor:"3,keyasint,omitempty"`
 }
 
 // Enter has a cairn bring a change into the chain. It is answered when the tail has it. After is the newest entry
--- a/policy/places.go
+++ b/policy/places.go
@@ -33,25 +33,65 @@
 
 // coldSendRoom tells whether a cold server may get another send of ours in the second that
 // ends now. It guards against servers that fall over: each gateway has its part of what
-// such a one bears.
+// such a one bears. An attempt that waits for a connection may leave in any second to come.
 func (g *Gateway) coldSendRoom(s *server) bool {
 	if g.set.ColdSends == nil {
 		return false
 	}
 	g.forgetSends(s)
-	return len(s.coldSends) < g.set.ColdSends(s.id)
+	return len(s.coldSends)+s.unsent < g.set.ColdSends(s.id)
 }
 
 // noteSend keeps a send that may count against a cold server's budget. A server may become
 // cold at any moment, and what it was sent just before counts too.
 func (g *Gateway) noteSend(s *server) {
 	s.usedAt = g.now
-	if g.set.ColdSends != nil {
-		g.forgetSends(s)
-	} else if !g.cold(s) {
+	switch {
+	case g.set.ColdSends != nil:
+		s.unsent++
+	case g.cold(s):
+		s.coldSends = append(s.coldSends, g.now)
+	}
+}
+
+// Left tells that an attempt has left for its server. Only a gateway with Settings.ColdSends needs to know.
+func (g *Gateway) Left(now Micros, id uint32, attempt int) {
+	if a := g.openAttemptOf(id, attempt); a != nil {
+		g.now = now
+		g.leave(a)
+	}
+}
+
+// MayLeave tells whether an attempt that has waited for a connection may leave now: its server may have become cold
+// since it was decided on, or our part of what the server bears may have shrunk.
+func (g *Gateway) MayLeave(now Micros, id uint32, attempt int) bool {
+	a := g.openAttemptOf(id, attempt)
+	if a == nil || g.set.ColdSends == nil || a.srv.e.ColdUntil <= now {
+		return true
+	}
+	g.now = now
+	g.forgetSends(a.srv)
+	return len(a.srv.coldSends) < g.set.ColdSends(a.srv.id)
+}
+
+// openAttemptOf is an attempt that has not ended, nil if there is none.
+func (g *Gateway) openAttemptOf(id uint32, attempt int) *attempt {
+	q := g.reqs[id]
+	if q == nil || attempt < 0 || attempt >= len(q.attempts) || !q.attempts[attempt].open {
+		return nil
+	}
+	return q.attempts[attempt]
+}
+
+// leave counts an attempt from now on among its server's sends of the last second.
+func (g *Gateway) leave(a *attempt) {
+	if a.left || g.set.ColdSends == nil {
 		return
 	}
-	s.coldSends = append(s.coldSends, g.now)
+	a.left = true
+	a.srv.unsent--
+	g.forgetSends(a.srv)
+	a.srv.coldSends = append(a.srv.coldSends, g.now)
 }
 
 // forgetSends drops the sends that no window holds any more.
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -1,6 +1,10 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
 
 // TestHomesAreNeverCrossed: where the only servers at home take nothing, a request is
 // refused rather than sent elsewhere, also at its second try.
@@ -88,6 +92,46 @@
 	}
 }
 
+// TestAColdServersSendsCountAsTheyLeave: an attempt that waits for a connection may leave in any second to come, and
+// counts in all until it has.
+func TestAColdServersSendsCountAsTheyLeave(t *testing.T) {
+	const most = 3
+	s := settings()
+	s.Gateways = 1
+	share := most
+	s.ColdSends = func(Server) int { return share }
+	g, r := start(s, 0)
+	g.Servers(100e6, r, FullList, []Entry{{Server: 1, State: Ready, ColdUntil: 200e6}})
+	room := func(at Micros) bool {
+		g.now = at
+		return g.coldSendRoom(g.byID[1])
+	}
+	for id := range uint32(most) {
+		g.Request(100e6, r, Request{ID: id, Customer: uint64(id), Left: 9e6, Units: 1})
+	}
+	assert.Equal(t, len(r.sent), most)
+	assert.Assert(t, !room(101500e3), "three wait for a connection")
+	g.Left(101600e3, 0, 0)
+	g.Left(101600e3, 0, 0) // told twice
+	g.Outcome(101600e3, r, Outcome{ID: 1, Status: Reset, Server: 1, Terminal: true})
+	assert.Assert(t, !room(102e6), "one has left in this second, one may have, one waits")
+	assert.Assert(t, g.MayLeave(102e6, 2, 0))
+	share = 2
+	assert.Assert(t, !g.MayLeave(102e6, 2, 0), "our part has shrunk")
+	share = most
+	assert.Assert(t, room(102700e3), "only the one that waits counts")
+	g.Outcome(102700e3, r, Outcome{ID: 2, Status: Moot, Server: 1, Terminal: true})
+	assert.Equal(t, g.byID[1].unsent, 0)
+	g.Outcome(102700e3, r, Outcome{ID: 0, Status: OK, Server: 1, Terminal: true})
+	assert.Equal(t, len(g.byID[1].coldSends), 1, "one that has left counts once")
+
+	g.Request(104e6, r, Request{ID: 9, Customer: 9, Left: 9e6, Units: 1})
+	share = 0
+	assert.Assert(t, !g.MayLeave(104e6, 9, 0))
+	g.Servers(104e6, r, FullList, []Entry{{Server: 1, State: Ready}})
+	assert.Assert(t, g.MayLeave(104e6, 9, 0), "it is warm")
+}
+
 // TestAFurtherTryIsAskedForOnceAndADenialEndsTheRequest: by a refusal or, where it may have
 // run and is not to be repeated, a failure.
 func TestAFurtherTryIsAskedForOnceAndADenialEndsTheRequest(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,7 @@
 	load       float64 // its work against the average
 	filling    bool    // the worker can't have begun
 	muted      bool    // its silence was told
+	left       bool    // it is on its way to the server
 	prev, next *attempt
 }
 
@@ -63,8 +64,9 @@
 	trial      bool // a trial is out
 	lost       bool // shut off as silent, and not heard of since
 	fullUntil  Micros
-	coldSends  []Micros
-	belief     Belief // of the zone's gateways
+	coldSends  []Micros // of the last second
+	unsent     int      // attempts that have not left yet
+	belief     Belief   // of the zone's gateways
 	seen       seen
 	told       float64 // requests for each slot that it had, by its last report
 	toldAt     Micros
@@ -211,6 +213,7 @@
 
 func (g *Gateway) closeAttempt(a *attempt) {
 	s := a.srv
+	g.leave(a) // whatever became of it
 	if a.prev != nil {
 		a.prev.next = a.next
 	} else {
--- a/policy/tenants_test.go
+++ b/policy/tenants_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -119,7 +118,7 @@
 		{"with requests", 10 * second, 69, 43, 100, 17},
 	} {
 		b := NewTries(0, rule)
-		b.Members(c.n, c.place)
+		b.Members(0, c.n, c.place)
 		for range c.requests {
 			b.Request(c.at, "s")
 		}
@@ -134,11 +133,32 @@
 	}
 }
 
+// TestAPartOfTheTriesGrowsLate: those that are missing have used theirs in the window, or go on with it.
+func TestAPartOfTheTriesGrowsLate(t *testing.T) {
+	rule := TriesRule{Window: 10 * second, Ratio: 0.2, Slack: 62}
+	b := NewTries(-rule.Window, rule)
+	assert.Equal(t, b.slack(0), 0, "nobody knows how many there are")
+	b.Members(0, 1, 0)
+	alone := b.slack(0)
+	b.Members(0, 9, 8)
+	ninth := b.slack(0)
+	assert.Assert(t, ninth > 0 && 9*ninth <= alone, "%d of %d", ninth, alone)
+	b.Members(second, 2, 0) // told by one that has lost sight of the others
+	assert.Equal(t, b.slack(second), ninth)
+	b.Members(3*second, 9, 8)
+	assert.Equal(t, b.slack(12*second), ninth)
+	b.Members(20*second, 3, 2)
+	assert.Equal(t, b.slack(30*second-1), ninth)
+	assert.Assert(t, b.slack(30*second) > 2*ninth)
+	b.Members(31*second, 9, 8)
+	assert.Equal(t, b.slack(31*second), ninth, "a smaller one holds at once")
+}
+
 // TestTriesKeepEveryWindow: over steady and uneven requests, no window has more.
 func TestTriesKeepEveryWindow(t *testing.T) {
 	rule := TriesRule{Window: 10 * second, Ratio: 0.2, Slack: 58}
 	b := NewTries(0, rule)
-	b.Members(9, 3)
+	b.Members(0, 9, 3)
 	var req, took []Micros
 	for ms := Micros(0); ms < 60e3; ms += 7 {
 		at := ms * milli
@@ -166,54 +186,6 @@
 	assert.Equal(t, len(b.services), 0)
 }
 
-// TestSharesOfAColdWorker add up to a part of the bound, and are whole.
-func TestSharesOfAColdWorker(t *testing.T) {
-	for _, members := range []int{1, 2, 9, 11, 69, 300} {
-		for _, bound := range []float64{0, 0.9, 5, 12.5, 20, 400} {
-			had := map[int]bool{}
-			for worker := range uint64(60) {
-				sum, least, most := 0, 1<<30, 0
-				for p := range members {
-					s := Share(bound, members, p, worker)
-					sum, least, most = sum+s, min(least, s), max(most, s)
-					if s > 0 {
-						had[p] = true
-					}
-				}
-				assert.Equal(t, sum, int(bound*coldUsed))
-				assert.Assert(t, most-least <= 1)
-			}
-			if bound == 20 && members <= 69 {
-				assert.Equal(t, len(had), members, "some never have a turn")
-			}
-		}
-	}
-	assert.Equal(t, Share(20, 3, 3, 1), 0)
-}
-
-// TestColdCountsEverySecond: no second holds more sends than the share.
-func TestColdCountsEverySecond(t *testing.T) {
-	for _, sends := range []int{0, 1, 3, 32, 50} {
-		var c Cold
-		var sent []Micros
-		for at := Micros(0); at < 4*second; at += 7 * milli {
-			if c.May(at, sends) {
-				c.Sent(at)
-				sent = append(sent, at)
-			} else {
-				assert.Assert(t, sends == 0 || c.Next(sends) > at)
-			}
-		}
-		most := min(sends, coldMost)
-		for i := range sent {
-			if i >= most {
-				assert.Assert(t, sent[i]-sent[i-most] > second)
-			}
-		}
-		assert.Assert(t, len(sent) <= 4*most && len(sent) >= 3*most, fmt.Sprint(sends, len(sent)))
-	}
-}
-
 // TestTheKick: whole tokens beside the burst, taken after the bucket's, gone after two seconds,
 // and not told as held.
 func TestTheKick(t *testing.T) {
--- a/policy/tries.go
+++ b/policy/tries.go
@@ -23,23 +23,43 @@
 	sumReq, sumTook int
 }
 
+// triesPart is a gatekeeper's place, from 0, among so many; none while it is not known.
+type triesPart struct{ place, members int }
+
 // Tries is the budget of one gatekeeper for each service.
 type Tries struct {
 	rule     TriesRule
 	born     Micros
-	n, place int
+	part     triesPart
+	next     triesPart // takes the place of part when a window has gone by since nextAt
+	nextAt   Micros
 	services map[string]*tryCount
 }
 
 // NewTries makes the budget at the start of a process. For a window it has half of its slack:
 // the life before may have used its own.
 func NewTries(now Micros, rule TriesRule) *Tries {
-	return &Tries{rule: rule, born: now, n: 1, services: map[string]*tryCount{}}
+	return &Tries{rule: rule, born: now, services: map[string]*tryCount{}}
 }
 
-// Members brings how many gatekeepers there are and our place among them, from 0.
-func (t *Tries) Members(n, place int) {
-	t.n, t.place = max(n, 1), place
+// Members brings how many gatekeepers there are and our place among them, from 0. Where they have become fewer our
+// part grows only once a window has gone by: those that are missing have used theirs of it, and may have been cut off
+// and go on. Until it is known how many there are, there is no part of the slack.
+func (t *Tries) Members(now Micros, n, place int) {
+	t.settle(now)
+	if next := (triesPart{place, n}); next != t.next {
+		t.next, t.nextAt = next, now
+	}
+	if n >= t.part.members {
+		t.part = t.next
+	}
+}
+
+// settle takes up a larger part that is due.
+func (t *Tries) settle(now Micros) {
+	if now-t.nextAt >= t.rule.Window {
+		t.part = t.next
+	}
 }
 
 func (t *Tries) at(now Micros, service string) *tryCount {
@@ -70,9 +90,13 @@
 // slack is our whole tries of the slack: the even part, and one more for the first places
 // where it doesn't come out even.
 func (t *Tries) slack(now Micros) int {
+	t.settle(now)
+	if t.part.members <= 0 {
+		return 0
+	}
 	all := int(t.rule.Slack * triesSlackUsed)
-	own := all / t.n
-	if t.place >= 0 && t.place < all%t.n {
+	own := all / t.part.members
+	if t.part.place >= 0 && t.part.place < all%t.part.members {
 		own++
 	}
 	if now-t.born < t.rule.Window {
