--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -99,6 +99,8 @@
 	members   int
 	life      uint64
 	told      map[string]toldWhole // by the address of who was told
+	telling   map[string]bool      // who has not answered yet
+	tellSoon  chan struct{}        // there is news of workers that should not wait for the next round
 	counts    counts
 	strikes   strikes
 	polled    float64
@@ -126,7 +128,8 @@
 // New makes a bothy. It also stands for the duties named.
 func New(set *trailhead.Settings, log zerolog.Logger, duties ...string) *Bothy {
 	b := &Bothy{set: set, log: log, start: time.Now(), cairn: traverse.NewPeer(set.Inner(cairnDock)),
-		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, life: rand.Uint64(),
+		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, telling: map[string]bool{},
+		tellSoon: make(chan struct{}, 1), life: rand.Uint64(),
 		guests: map[string]float64{}}
 	self := set.Inner(bothyDock)
 	b.book = guestbook.New(self, rand.Uint64(), b.now(), lapse)
@@ -229,7 +232,7 @@
 	traverse.Handle(s, b.status)
 	b.serveLevel(ctx, s)
 	if b.probes > 0 {
-		go loop(ctx, probeEvery, b.probe)
+		go loop(ctx, probeEvery, nil, b.probe)
 	}
 	go func() { _ = s.Serve(inner) }()
 	doors, err := b.open()
@@ -237,10 +240,11 @@
 		return err
 	}
 	for every, do := range map[time.Duration]func(context.Context){
-		confirmEvery: b.confirm, gossipEvery: b.gossip, wardenEvery: b.ward, rosterEvery: b.poll, figuresEvery: b.figures,
+		confirmEvery: b.confirm, wardenEvery: b.ward, rosterEvery: b.poll, figuresEvery: b.figures,
 	} {
-		go loop(ctx, every, do)
+		go loop(ctx, every, nil, do)
 	}
+	go loop(ctx, gossipEvery, b.tellSoon, b.gossip)
 	go b.hurry(ctx)
 	b.log.Info().Str("inner", b.set.Inner(bothyDock)).Bool("first", b.set.FirstRun).Msg("serving")
 	<-ctx.Done()
@@ -275,8 +279,8 @@
 	}
 }
 
-// loop does something again and again.
-func loop(ctx context.Context, every time.Duration, do func(context.Context)) {
+// loop does something again and again, and sooner when told so.
+func loop(ctx context.Context, every time.Duration, soon <-chan struct{}, do func(context.Context)) {
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
@@ -285,6 +289,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-soon:
 		}
 	}
 }
@@ -362,7 +367,8 @@
 	b.changed()
 }
 
-// gossip exchanges sessions with the other bothies.
+// gossip exchanges sessions with the other bothies. One that does not answer holds up nobody else: it is told again
+// once it has, or its call has failed.
 func (b *Bothy) gossip(ctx context.Context) {
 	b.mu.Lock()
 	now := b.now()
@@ -375,6 +381,10 @@
 	}
 	var tellings []telling
 	for addr, p := range b.peers {
+		if b.telling[addr] {
+			continue
+		}
+		b.telling[addr] = true
 		t := telling{to: p, last: b.told[addr]}
 		if t.last.mark == mark && now-t.last.at < wholeEvery {
 			t.page = brief()
@@ -395,6 +405,7 @@
 			g.Page = x.page
 			h, err := traverse.Call[waymark.Gossip, waymark.Heard](ctx, p, g)
 			b.mu.Lock()
+			delete(b.telling, p.Addr())
 			switch {
 			case err != nil || h.Life != t.life: // who it was heard nothing, or has forgotten it
 				b.told[p.Addr()] = toldWhole{life: h.Life}
@@ -408,7 +419,7 @@
 			b.fetch(ctx, p, h.Roster)
 		})
 	}
-	all.Wait()
+	waitAtMost(&all, gossipEvery)
 	b.mu.Lock()
 	b.rolled()
 	if len(b.guests) > 0 {
@@ -417,6 +428,21 @@
 	b.mu.Unlock()
 }
 
+// waitAtMost waits until all are done, but not longer than a time.
+func waitAtMost(all *sync.WaitGroup, most time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	limit := time.NewTimer(most)
+	defer limit.Stop()
+	select {
+	case <-done:
+	case <-limit.C:
+	}
+}
+
 // rolled tells of members that came or went. The lock is held.
 func (b *Bothy) rolled() {
 	now := b.now()
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -271,6 +271,10 @@
 			b.log.Info().Uint64("version", b.roster.version).Int("workers", len(list)).Msg("workers")
 			b.strikes.settle(b.roster)
 			b.changed()
+			select {
+			case b.tellSoon <- struct{}{}:
+			default: // it is about to be told already
+			}
 		}
 	}
 }
--- a/internal/bothy/sessions_test.go
+++ b/internal/bothy/sessions_test.go
@@ -288,3 +288,36 @@
 	_, err = s.draw(t.Context(), waymark.Draw{Station: "p", Life: 1, Turn: 4})
 	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "who leaves has given its duty up")
 }
+
+// TestASilentPeerHoldsUpNobodyElse: while one does not answer, the others are told in each round, and it is not told
+// twice at a time.
+func TestASilentPeerHoldsUpNobodyElse(t *testing.T) {
+	told := make(chan string, 16)
+	end := make(chan struct{})
+	peer := func(name string, answers bool) string {
+		return serve(t, func(server *traverse.Server) {
+			traverse.Handle(server, func(ctx context.Context, _ waymark.Gossip) (waymark.Heard, error) {
+				told <- name
+				if !answers {
+					<-end
+				}
+				return waymark.Heard{}, nil
+			})
+		})
+	}
+	s := open(t)
+	for _, p := range []*traverse.Peer{traverse.NewPeer(peer("silent", false)), traverse.NewPeer(peer("other", true))} {
+		t.Cleanup(p.Close)
+		s.peers[p.Addr()] = p
+	}
+	t.Cleanup(func() { close(end) })
+	for range 3 {
+		s.gossip(t.Context())
+	}
+	count := map[string]int{}
+	for len(told) > 0 {
+		count[<-told]++
+	}
+	assert.Equal(t, count["silent"], 1)
+	assert.Equal(t, count["other"], 3)
+}
--- a/internal/bothy/shed.go
+++ b/internal/bothy/shed.go
@@ -34,7 +34,7 @@
 	}
 	traverse.Handle(s, b.strain)
 	traverse.Handle(s, b.fixLevel)
-	go loop(ctx, levelEvery, func(context.Context) {
+	go loop(ctx, levelEvery, nil, func(context.Context) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.stepLevel()
