--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -57,7 +57,6 @@
 	zone      string
 	coldUntil float64
 	downUntil float64
-	life      int
 	arrivals  []float64 // while it was cold, or less than a second before
 }
 
--- a/internal/bothy/cost_test.go
+++ b/internal/bothy/cost_test.go
@@ -1,6 +1,7 @@
 package bothy
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"testing"
@@ -155,7 +156,7 @@
 	}
 	for i, b := range c.bothies[1:] {
 		q := waymark.AskRoster{Have: b.roster.version}
-		r, _ := first.askedRoster(nil, q)
+		r, _ := first.askedRoster(context.Background(), q)
 		c.core(i+1, 0, q, r)
 		b.roster.hear(c.now, &r)
 	}
--- a/internal/brocken/week.go
+++ b/internal/brocken/week.go
@@ -94,7 +94,6 @@
 	known   int // live workers that it was told of
 	drift   float64
 	shift   float64
-	pressed bool
 	open    map[int]*running // by piece
 	last    spur.Counts
 }
--- a/internal/link/model_test.go
+++ b/internal/link/model_test.go
@@ -30,8 +30,6 @@
 	dirty   []flusher
 	ends    map[*gatekeeper.Execution][]gatekeeper.Outcome
 	classes []policy.Class
-	wrong   []string
-	order   int
 }
 
 type fakeTimer struct {
@@ -215,7 +213,6 @@
 	known
 	parser *http1.Parser
 	turns  map[string]string
-	in     []byte
 }
 
 func (m *lineModel) take(b []byte) {
--- a/internal/platform/orderings_test.go
+++ b/internal/platform/orderings_test.go
@@ -489,7 +489,10 @@
 
 // mayors come in pairs, guessed at the most units. In truth each takes one.
 func mayors(i int) event {
-	return event{fmt.Sprintf("two mayor at %d", i), func(w *world) bool { return w.arrive(i, 0, 1, 6) && w.arrive(i, 0, 1, 6) }}
+	return event{fmt.Sprintf("two mayor at %d", i), func(w *world) bool {
+		first := w.arrive(i, 0, 1, 6)
+		return first && w.arrive(i, 0, 1, 6)
+	}}
 }
 
 // near brings the mayor's customer near its ceiling, by cheap requests that give their
--- a/internal/service/stand_test.go
+++ b/internal/service/stand_test.go
@@ -48,7 +48,6 @@
 	*http.Request
 	body string
 	c    net.Conn
-	text string // the answer to write, set by script
 }
 
 // worker is a stand-in for a worker. Its script answers each request, by writing
--- a/internal/signpost/signpost.go
+++ b/internal/signpost/signpost.go
@@ -69,7 +69,6 @@
 }
 
 type serve struct {
-	plain
 	p Program
 }
 
--- a/internal/snowline/snowline_test.go
+++ b/internal/snowline/snowline_test.go
@@ -25,7 +25,6 @@
 	dead     bool
 	own      float64 // pressure of its own
 	slow     float64 // how much later its messages come
-	pressed  float64 // since when
 }
 
 // message is one on its way.
--- a/internal/spur/journey_test.go
+++ b/internal/spur/journey_test.go
@@ -193,10 +193,6 @@
 
 // TestOrders: what happens to journeys that a change of the share finds on their way.
 func TestOrders(t *testing.T) {
-	type step struct {
-		share float64
-		at    int // second
-	}
 	for _, c := range []struct {
 		name     string
 		from, to float64 // the journey's place
--- a/internal/store/bulk.go
+++ b/internal/store/bulk.go
@@ -154,13 +154,6 @@
 // packs keeps the bodies that were packed last; a body is known by where it stands in memory.
 type packs struct{ of []packedBody }
 
-// rest keeps only what may be wanted again soon.
-func (p *packs) rest() {
-	if n := len(p.of); n > 2 {
-		p.of = slices.Clone(p.of[n-2:])
-	}
-}
-
 type packedBody struct {
 	raw []byte
 	blob
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -84,6 +84,9 @@
 	if err == nil && t.torn {
 		var names []string
 		names, err = filepath.Glob(filepath.Join(d.dir, "generation-*", "*"))
+		if err != nil {
+			return err
+		}
 		last := slices.Max(names)
 		var info os.FileInfo
 		if info, err = os.Stat(last); err == nil {
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -451,8 +450,3 @@
 	default:
 	}
 }
-
-func host(addr string) string {
-	h, _, _ := net.SplitHostPort(addr)
-	return h
-}
--- a/internal/traverse/cuts_test.go
+++ b/internal/traverse/cuts_test.go
@@ -195,7 +195,7 @@
 				return answer{1}, nil
 			}
 			<-goOn
-			return answer{q.N}, nil
+			return answer(q), nil
 		})
 	})
 	before.near = time.Hour
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -74,7 +74,7 @@
 			<-held
 			return answer{}, nil
 		})
-		Handle(s, func(_ context.Context, q ask) (answer, error) { return answer{q.N}, nil })
+		Handle(s, func(_ context.Context, q ask) (answer, error) { return answer(q), nil })
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
@@ -169,7 +169,7 @@
 			<-held
 			return answer{}, nil
 		})
-		Handle(s, func(_ context.Context, q ask) (answer, error) { return answer{q.N}, nil })
+		Handle(s, func(_ context.Context, q ask) (answer, error) { return answer(q), nil })
 	})
 	over := make(chan error, openMost)
 	for range openMost {
@@ -209,7 +209,7 @@
 	ln, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	s := NewServer()
-	Handle(s, func(_ context.Context, q ask) (answer, error) { return answer{q.N}, nil })
+	Handle(s, func(_ context.Context, q ask) (answer, error) { return answer(q), nil })
 	go func() { _ = s.Serve(&cutOff{Listener: ln}) }()
 	p := NewPeer(ln.Addr().String())
 	t.Cleanup(func() {
@@ -234,7 +234,7 @@
 	_, p := serve(t, func(s *Server) {
 		Handle(s, func(_ context.Context, q ask) (answer, error) {
 			came <- q.N
-			return answer{q.N}, nil
+			return answer(q), nil
 		})
 	})
 	dialled, goOn := make(chan bool, 9), make(chan bool)
