--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/snowline"
 	"foxwood/internal/timetable"
@@ -68,10 +68,10 @@
 
 	mu        sync.Mutex
 	news      chan struct{} // closed at news
-	book      *guestbook.Book
+	book      *membership.Book
 	warden    *warden.Machine
 	roster    *roster
-	allot     *cistern.Allotter
+	allot     *quota.Allotter
 	slowStart *slowstart.Coordinator
 	peers     map[string]*traverse.Peer // the other bothies
 	zones     map[string]string         // theirs
@@ -132,7 +132,7 @@
 		tellSoon: make(chan struct{}, 1), life: rand.Uint64(),
 		guests: map[string]float64{}}
 	self := set.Inner(bothyDock)
-	b.book = guestbook.New(self, rand.Uint64(), b.now(), lapse)
+	b.book = membership.New(self, rand.Uint64(), b.now(), lapse)
 	kept, epoch, first := recall(set.ArchiveDir)
 	if first = first && set.FirstRun; first && set.ArchiveDir != "" {
 		// It must be there before the first voice is given: the next life may have to wait that out.
@@ -141,7 +141,7 @@
 	b.kept, b.keptEpoch = kept, epoch
 	b.warden = warden.New(self, rand.Uint64(), b.now(), dutyLease, first, append([]string{dutyRoster, dutySlices}, duties...)...)
 	b.warden.Remember(kept, epoch)
-	b.allot = cistern.New(sliceLease, cistern.BoundsOf(&set.Bounds))
+	b.allot = quota.New(sliceLease, quota.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.slowStart = slowstart.New(sliceLease)
 	b.patience = callMost
@@ -373,11 +373,11 @@
 	b.mu.Lock()
 	now := b.now()
 	mark := b.book.Mark(now)
-	brief, whole := sync.OnceValue(func() guestbook.Page { return b.book.Brief(now) }), sync.OnceValue(func() guestbook.Page { return b.book.Tell(now) })
+	brief, whole := sync.OnceValue(func() membership.Page { return b.book.Brief(now) }), sync.OnceValue(func() membership.Page { return b.book.Tell(now) })
 	type telling struct {
 		to   *traverse.Peer
 		last toldWhole
-		page guestbook.Page
+		page membership.Page
 	}
 	var tellings []telling
 	for addr, p := range b.peers {
@@ -449,12 +449,12 @@
 	roll := b.book.Members(now)
 	if roll.Version != b.roll {
 		b.roll = roll.Version
-		ids := make([]string, 0, len(roll.Guests))
-		for i := range roll.Guests {
-			ids = append(ids, guestID(roll.Guests[i].Station, roll.Guests[i].Life))
+		ids := make([]string, 0, len(roll.Members))
+		for i := range roll.Members {
+			ids = append(ids, memberID(roll.Members[i].Station, roll.Members[i].Life))
 		}
 		b.allot.Members(now, ids)
-		if n := len(roll.Guests); n != b.members {
+		if n := len(roll.Members); n != b.members {
 			b.members = n
 			b.log.Info().Int("members", n).Msg("members")
 		}
@@ -462,7 +462,7 @@
 	}
 }
 
-func (b *Bothy) hear(from, zone string, p guestbook.Page) {
+func (b *Bothy) hear(from, zone string, p membership.Page) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.zones[from] != zone {
@@ -540,7 +540,7 @@
 
 func (b *Bothy) figures(context.Context) {
 	b.mu.Lock()
-	c, members, workers, asked := b.counts, len(b.book.Members(b.now()).Guests), len(b.roster.listed), b.now()-b.asked
+	c, members, workers, asked := b.counts, len(b.book.Members(b.now()).Members), len(b.roster.listed), b.now()-b.asked
 	b.mu.Unlock()
 	b.log.Info().Interface("counts", c).Interface("sent", traverse.Sent()).Int("members", members).Int("workers", workers).
 		Float64("tailAskedMs", asked).Msg("figures")
--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
@@ -140,7 +140,7 @@
 			Bounds: trailhead.Bounds{TTLMaxS: 5, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaSlack: 20}}
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return w.now }
-		b.book = guestbook.New(addrs[i], uint64(i+1), w.now, lapse)
+		b.book = membership.New(addrs[i], uint64(i+1), w.now, lapse)
 		b.warden = warden.New(addrs[i], uint64(i+1), w.now, dutyLease, true, dutyRoster, dutySlices)
 		b.view = cairn.View{No: 1, Chain: core, Core: core, Epoch: 1, Seats: 4}
 		b.parsed = table
@@ -248,14 +248,14 @@
 		return
 	}
 	g.turn++
-	q := waymark.Sign{Guest: guestbook.Guest{Station: g.station, Zone: g.zone, Region: "r0", Life: g.life, Turn: g.turn, Inner: g.station + ":1", Ready: true},
+	q := waymark.Sign{Member: membership.Member{Station: g.station, Zone: g.zone, Region: "r0", Life: g.life, Turn: g.turn, Inner: g.station + ":1", Ready: true},
 		Crowd: g.crowd.Mark}
 	g.larder.Question(&q)
 	a, err := near[0].sign(g.w.t.Context(), q)
 	assert.NilError(g.w.t, err)
 	if a.Stale && len(near) > 1 {
 		g.turn++
-		q.Guest.Turn = g.turn
+		q.Member.Turn = g.turn
 		_, _ = near[1].sign(g.w.t.Context(), q) // it signs elsewhere from now on, and comes back here later
 	}
 	g.larder.Hear(g.w.now, &a)
--- a/internal/bothy/cost_test.go
+++ b/internal/bothy/cost_test.go
@@ -12,9 +12,9 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
@@ -35,14 +35,14 @@
 
 // costGate is a gatekeeper: what it holds and what it says.
 type costGate struct {
-	guest   guestbook.Guest
+	guest   membership.Member
 	larder  *larder.Larder
 	crowd   waymark.Crowd
 	cores   uint64
 	edition uint64
 	at      int // of its bothy
 	turn    uint64
-	held    map[string]cistern.Slice
+	held    map[string]quota.Slice
 	heldTo  float64
 	signAt  float64
 	drawAt  float64
@@ -79,7 +79,7 @@
 		}
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return c.now }
-		b.book = guestbook.New(set.Inner(bothyDock), uint64(i+1), 0, lapse)
+		b.book = membership.New(set.Inner(bothyDock), uint64(i+1), 0, lapse)
 		b.warden.Remember(nil, 0)
 		c.bothies = append(c.bothies, b)
 	}
@@ -95,8 +95,8 @@
 	c.in, c.out, c.spent = make([]int, costBothies), make([]int, costBothies), make([]time.Duration, costBothies)
 	for i := range gatekeepers {
 		zone := i % costZones
-		g := &costGate{larder: larder.New(), at: i % costBothies, held: map[string]cistern.Slice{}, signAt: float64(i%50) * 10,
-			drawAt: 3000 + float64(i*7%50)*10, guest: guestbook.Guest{Station: fmt.Sprintf("counter-z%d-%d", zone, i/costZones), Zone: fmt.Sprint("z", zone),
+		g := &costGate{larder: larder.New(), at: i % costBothies, held: map[string]quota.Slice{}, signAt: float64(i%50) * 10,
+			drawAt: 3000 + float64(i*7%50)*10, guest: membership.Member{Station: fmt.Sprintf("counter-z%d-%d", zone, i/costZones), Zone: fmt.Sprint("z", zone),
 				Region: fmt.Sprint("r", zone%2), Life: uint64(i) + 1<<60, Counter: fmt.Sprintf("10.%d.0.%d:8206", zone+1, i/costZones+20),
 				Inner: fmt.Sprintf("10.%d.0.%d:7460", zone+1, i/costZones+20), Ready: true}}
 		c.gates = append(c.gates, g)
@@ -132,8 +132,8 @@
 	for _, b := range c.bothies {
 		b.take(cairn.State{Edition: edition, Body: []byte(doc), Last: cairn.Stamp{Seq: edition}})
 	}
-	for name, t := range cistern.Limited(c.bothies[0].parsed) {
-		c.thin[name] = cistern.Thin(t, cistern.BoundsOf(&c.bothies[0].set.Bounds), gatekeepers)
+	for name, t := range quota.Limited(c.bothies[0].parsed) {
+		c.thin[name] = quota.Thin(t, quota.BoundsOf(&c.bothies[0].set.Bounds), gatekeepers)
 	}
 }
 
@@ -198,11 +198,11 @@
 	b := c.bothies[g.at]
 	g.turn++
 	g.guest.Turn = g.turn
-	q := waymark.Sign{Guest: g.guest, Crowd: g.crowd.Mark, Cores: g.cores, Wait: 500}
+	q := waymark.Sign{Member: g.guest, Crowd: g.crowd.Mark, Cores: g.cores, Wait: 500}
 	var a waymark.Signed
 	c.timed(&g.spent, func() { g.larder.Question(&q) })
 	c.timed(&c.spent[g.at], func() {
-		b.book.Sign(c.now, q.Guest)
+		b.book.Sign(c.now, q.Member)
 		b.rolled()
 		b.asked = c.now
 		a, _ = b.signed(q, c.now)
@@ -251,7 +251,7 @@
 	q := waymark.Draw{Station: g.guest.Station, Life: g.guest.Life, Turn: g.turn, Demand: map[string]float32{}, Holding: waymark.Pack(g.held),
 		LeaseLeft: max(g.heldTo-c.now, 0)}
 	for name := range c.thin {
-		switch home := guestbook.HomeAmong(append(g.crowd.Peers[:len(g.crowd.Peers):len(g.crowd.Peers)], g.guest.Inner), "", name); {
+		switch home := membership.HomeAmong(append(g.crowd.Peers[:len(g.crowd.Peers):len(g.crowd.Peers)], g.guest.Inner), "", name); {
 		case !c.thin[name]:
 			q.Demand[name] = 3.7
 		case home == g.guest.Inner:
@@ -261,11 +261,11 @@
 	holder := c.bothies[0]
 	var a waymark.Drawn
 	c.timed(&c.spent[0], func() {
-		demand := cistern.Demand{}
+		demand := quota.Demand{}
 		for name, d := range q.Demand {
 			demand[name] = float64(d)
 		}
-		got := holder.allot.Ask(c.now, guestID(q.Station, q.Life), q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
+		got := holder.allot.Ask(c.now, memberID(q.Station, q.Life), q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
 		a = waymark.Drawn{Slices: waymark.Pack(got), Lease: sliceLease}
 	})
 	c.call(g, q, a, "draw")
@@ -274,7 +274,7 @@
 		c.core(g.at, 0, q, a)
 	}
 	for name, s := range waymark.Unpack(a.Slices) {
-		if s != (cistern.Slice{}) {
+		if s != (quota.Slice{}) {
 			g.held[name] = s
 		}
 	}
@@ -283,7 +283,7 @@
 
 func (c *costRun) gossip() {
 	for i, b := range c.bothies {
-		var brief, whole guestbook.Page
+		var brief, whole membership.Page
 		var mark uint64
 		c.timed(&c.spent[i], func() {
 			mark = b.book.Mark(c.now)
--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/snowline"
 	"foxwood/internal/traverse"
 	"foxwood/internal/warden"
@@ -306,14 +306,14 @@
 	s.Shed(snowline.Options{})
 	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 1}, State: state(1, 12)}, nil)
 	s.alone(now, 0)
-	s.book.Sign(s.now(), guestbook.Guest{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Counter: "10.0.0.1:80", Ready: true})
+	s.book.Sign(s.now(), membership.Member{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Counter: "10.0.0.1:80", Ready: true})
 	const path = "/resolve?name=x.example&region=a&zone=a1"
 	assert.Equal(t, s.ask("directory", "GET", path, nil).Code, 200)
 	assert.Assert(t, s.answer(waymark.Sign{}).AsOf > -20_000)
 	s.mu.Lock()
 	s.book.Leave(s.now(), "p", 1)
 	s.mu.Unlock()
-	s.book.Sign(s.now(), guestbook.Guest{Station: "q", Zone: "a1", Region: "a", Life: 2, Turn: 1, Counter: "10.0.0.2:80", Ready: true})
+	s.book.Sign(s.now(), membership.Member{Station: "q", Zone: "a1", Region: "a", Life: 2, Turn: 1, Counter: "10.0.0.2:80", Ready: true})
 	now.Add(20_000)
 	w := s.ask("directory", "GET", path, nil)
 	assert.Equal(t, w.Code, 503, w.Body)
--- a/internal/bothy/outside_test.go
+++ b/internal/bothy/outside_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -207,7 +207,7 @@
 	w := s.ask("directory", "GET", path, nil)
 	assert.Equal(t, w.Code, 503)
 	assert.Assert(t, w.Header().Get("Retry-After") != "")
-	s.book.Sign(s.now(), guestbook.Guest{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Counter: "10.0.0.1:80", Ready: true})
+	s.book.Sign(s.now(), membership.Member{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Counter: "10.0.0.1:80", Ready: true})
 	for _, c := range []struct{ most, valid float64 }{{5, validS}, {1.5, 1.5}} {
 		s.set.Bounds.TTLMaxS = c.most
 		w = s.ask("directory", "GET", path, nil)
--- a/internal/bothy/relay.go
+++ b/internal/bothy/relay.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
 
@@ -15,10 +15,10 @@
 // relay puts what a gatekeeper is to hear of the configuration and the workers into its answer,
 // and tells whether there is news. Bytes between zones are dear: only the zone's homes get bodies
 // and parts, and who holds nothing yet, or has not got them from the homes. The lock is held.
-func (b *Bothy) relay(now float64, roll guestbook.Roll, q *waymark.Sign, a *waymark.Signed) (some bool) {
-	g := &q.Guest
+func (b *Bothy) relay(now float64, roll membership.Roll, q *waymark.Sign, a *waymark.Signed) (some bool) {
+	g := &q.Member
 	own := func(service string) bool {
-		home := guestbook.Home(roll, g.Zone, service)
+		home := membership.Home(roll, g.Zone, service)
 		return home == "" || home == g.Inner
 	}
 	a.Edition = b.state.Edition
--- a/internal/bothy/relay_test.go
+++ b/internal/bothy/relay_test.go
@@ -7,14 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
 
-func zoned(stations ...string) (roll guestbook.Roll) {
+func zoned(stations ...string) (roll membership.Roll) {
 	for _, s := range stations {
-		roll.Guests = append(roll.Guests, guestbook.Guest{Station: s, Zone: "z", Inner: s, Ready: true})
+		roll.Members = append(roll.Members, membership.Member{Station: s, Zone: "z", Inner: s, Ready: true})
 	}
 	return roll
 }
@@ -22,9 +22,9 @@
 // TestWhoIsSentWhat: bodies and parts go to homes, to who holds nothing, and to who wants them.
 func TestWhoIsSentWhat(t *testing.T) {
 	roll := zoned("g1", "g2", "g3")
-	body, part := guestbook.Home(roll, "z", larder.Timetable), guestbook.Home(roll, "z", "d")
+	body, part := membership.Home(roll, "z", larder.Timetable), membership.Home(roll, "z", "d")
 	other := ""
-	for _, g := range roll.Guests {
+	for _, g := range roll.Members {
 		if g.Inner != body && g.Inner != part {
 			other = g.Inner
 		}
@@ -36,21 +36,21 @@
 	b.roster.poll(0, 1, []waymark.Worker{worker("a", closing)})
 	for _, c := range []struct {
 		name       string
-		roll       guestbook.Roll
+		roll       membership.Roll
 		q          waymark.Sign
 		body, part bool
 	}{
-		{"home of the configuration", roll, waymark.Sign{Guest: guestbook.Guest{Inner: body}, Edition: 5, Roster: old}, true, body == part},
-		{"home of the workers", roll, waymark.Sign{Guest: guestbook.Guest{Inner: part}, Edition: 5, Roster: old}, body == part, true},
-		{"another", roll, waymark.Sign{Guest: guestbook.Guest{Inner: other}, Edition: 5, Roster: old}, false, false},
-		{"another that wants the body", roll, waymark.Sign{Guest: guestbook.Guest{Inner: other}, Edition: 5, Roster: old, Body: true}, true, false},
-		{"another that wants the workers", roll, waymark.Sign{Guest: guestbook.Guest{Inner: other}, Edition: 5, Roster: b.roster.version,
+		{"home of the configuration", roll, waymark.Sign{Member: membership.Member{Inner: body}, Edition: 5, Roster: old}, true, body == part},
+		{"home of the workers", roll, waymark.Sign{Member: membership.Member{Inner: part}, Edition: 5, Roster: old}, body == part, true},
+		{"another", roll, waymark.Sign{Member: membership.Member{Inner: other}, Edition: 5, Roster: old}, false, false},
+		{"another that wants the body", roll, waymark.Sign{Member: membership.Member{Inner: other}, Edition: 5, Roster: old, Body: true}, true, false},
+		{"another that wants the workers", roll, waymark.Sign{Member: membership.Member{Inner: other}, Edition: 5, Roster: b.roster.version,
 			Want: map[string]uint64{"d": old}}, false, true},
-		{"another that holds nothing", roll, waymark.Sign{Guest: guestbook.Guest{Inner: other}}, true, true},
-		{"nobody is a home", guestbook.Roll{}, waymark.Sign{Guest: guestbook.Guest{Inner: other}, Edition: 5, Roster: old}, true, true},
+		{"another that holds nothing", roll, waymark.Sign{Member: membership.Member{Inner: other}}, true, true},
+		{"nobody is a home", membership.Roll{}, waymark.Sign{Member: membership.Member{Inner: other}, Edition: 5, Roster: old}, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			c.q.Guest.Zone = "z"
+			c.q.Member.Zone = "z"
 			var a waymark.Signed
 			assert.Assert(t, b.relay(0, c.roll, &c.q, &a))
 			assert.Equal(t, a.Edition, uint64(7))
@@ -60,7 +60,7 @@
 		})
 	}
 	var a waymark.Signed
-	q := waymark.Sign{Guest: guestbook.Guest{Inner: body, Zone: "z"}, Edition: 7, Roster: b.roster.version}
+	q := waymark.Sign{Member: membership.Member{Inner: body, Zone: "z"}, Edition: 7, Roster: b.roster.version}
 	assert.Assert(t, !b.relay(0, roll, &q, &a), "no news")
 }
 
@@ -113,7 +113,7 @@
 				l, b := larders[n], bothies[r.IntN(2)]
 				roll := zoned(names[r.IntN(2):]...)
 				sign := func() {
-					q := waymark.Sign{Guest: guestbook.Guest{Inner: n, Zone: "z"}}
+					q := waymark.Sign{Member: membership.Member{Inner: n, Zone: "z"}}
 					l.Question(&q)
 					var a waymark.Signed
 					b.relay(now, roll, &q, &a)
--- a/internal/bothy/scale_bench_test.go
+++ b/internal/bothy/scale_bench_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
@@ -38,16 +38,16 @@
 func BenchmarkScaleCrowd(b *testing.B) {
 	for _, n := range []int{300, 1000, 3000, 10_000, 18_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			book := guestbook.New("a", 1, 0, 0)
+			book := membership.New("a", 1, 0, 0)
 			for i := range n {
 				zone := i % 81
-				book.Sign(0, guestbook.Guest{Station: fmt.Sprintf("counter-%06d", i), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone%23), Life: uint64(i) + 1<<60, Turn: 1,
+				book.Sign(0, membership.Member{Station: fmt.Sprintf("counter-%06d", i), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone%23), Life: uint64(i) + 1<<60, Turn: 1,
 					Counter: fmt.Sprintf("10.%d.%d.%d:8206", i>>16, i>>8&255, i&255), Inner: fmt.Sprintf("10.%d.%d.%d:7460", i>>16, i>>8&255, i&255), Ready: true})
 			}
 			roll := book.Members(0)
 			var c *waymark.Crowd
 			for b.Loop() {
-				c = crowdOf(roll, &roll.Guests[n/2])
+				c = crowdOf(roll, &roll.Members[n/2])
 			}
 			b.ReportMetric(float64(traverse.Size(waymark.Signed{Crowd: c}, false)), "B/crowd")
 			b.ReportMetric(float64(len(c.Peers)), "peers")
@@ -106,7 +106,7 @@
 		for _, g := range c.gates {
 			x.book.Sign(0, g.guest)
 		}
-		q := waymark.Sign{Guest: c.gates[0].guest, Roster: 1<<termShift | 2, Edition: 1}
+		q := waymark.Sign{Member: c.gates[0].guest, Roster: 1<<termShift | 2, Edition: 1}
 		b.Run(fmt.Sprint(d), func(b *testing.B) {
 			for b.Loop() {
 				var a waymark.Signed
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -10,8 +10,8 @@
 
 	"github.com/zeebo/xxh3"
 
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
 	"foxwood/internal/warden"
@@ -24,9 +24,9 @@
 	b.counts.Signs++
 	came := b.now()
 	if q.Leaving {
-		b.book.Leave(came, q.Guest.Station, q.Guest.Life)
+		b.book.Leave(came, q.Member.Station, q.Member.Life)
 	} else {
-		b.book.Sign(came, q.Guest)
+		b.book.Sign(came, q.Member)
 	}
 	b.warden.Learn(dutyRoster, q.Roster>>termShift)
 	b.strikes.newest = max(b.strikes.newest, q.Roster)
@@ -58,7 +58,7 @@
 	a.AsOf = b.asked - came
 	a.Stale = b.asked == 0 || now-b.asked > staleAfter || b.waits()
 	a.Settled = b.settled(now)
-	a.Again = b.book.Again(now, q.Guest.Station, b.set.Bounds.QuotaWindowS*1e3+cistern.KickKeepMs)
+	a.Again = b.book.Again(now, q.Member.Station, b.set.Bounds.QuotaWindowS*1e3+quota.KickKeepMs)
 	roll := b.book.Members(now)
 	some = b.relay(now, roll, &q, &a)
 	a.Evac = b.evac
@@ -72,7 +72,7 @@
 	}
 	// Who has just started does not know all members yet: by too few of them gatekeepers would
 	// divide what cold workers bear and what quotas leave them.
-	if c := b.crowd(roll, &q.Guest); a.Settled && now >= crowdAfter && c.Mark != q.Crowd {
+	if c := b.crowd(roll, &q.Member); a.Settled && now >= crowdAfter && c.Mark != q.Crowd {
 		a.Crowd, some = c, some || q.Crowd == 0 // who has one hears of changes with its next answer
 	}
 	if b.coresMark != q.Cores {
@@ -93,7 +93,7 @@
 type viewer struct{ station, zone, region string }
 
 // crowd is what a gatekeeper is told of the others. It is found once for each roll.
-func (b *Bothy) crowd(roll guestbook.Roll, g *guestbook.Guest) *waymark.Crowd {
+func (b *Bothy) crowd(roll membership.Roll, g *membership.Member) *waymark.Crowd {
 	if b.crowdsOf != roll.Version {
 		b.crowds, b.crowdsOf = map[viewer]*waymark.Crowd{}, roll.Version
 	}
@@ -106,14 +106,14 @@
 	return c
 }
 
-func crowdOf(roll guestbook.Roll, g *guestbook.Guest) *waymark.Crowd {
+func crowdOf(roll membership.Roll, g *membership.Member) *waymark.Crowd {
 	c := &waymark.Crowd{}
 	c.Place, c.Count = roll.Place(g.Station)
 	h := xxh3.New()
 	_, _ = fmt.Fprint(h, c.Place, c.Count)
 	var far []string
-	for i := range roll.Guests {
-		o := &roll.Guests[i]
+	for i := range roll.Members {
+		o := &roll.Members[i]
 		switch {
 		case o.Region != g.Region || o.Station == g.Station || !o.Ready || o.Leaving:
 		case o.Zone == g.Zone:
@@ -173,11 +173,11 @@
 	if _, ok := b.warden.Holds(now, dutySlices); !ok || b.parsed == nil {
 		return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "the duty is lost")
 	}
-	demand := make(cistern.Demand, len(q.Demand))
+	demand := make(quota.Demand, len(q.Demand))
 	for name, d := range q.Demand {
 		demand[name] = float64(d)
 	}
-	id := guestID(q.Station, q.Life)
+	id := memberID(q.Station, q.Life)
 	got := b.allot.Ask(now, id, q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
 	if got == nil {
 		return waymark.Drawn{}, traverse.Errorf(traverse.Stale, "an asking that was overtaken")
@@ -190,10 +190,10 @@
 	if b.parsed == nil {
 		return
 	}
-	b.allot.Terms(b.now(), maps.Collect(cistern.Limited(b.parsed)), b.parsed.Edition)
+	b.allot.Terms(b.now(), maps.Collect(quota.Limited(b.parsed)), b.parsed.Edition)
 }
 
-func guestID(station string, life uint64) string { return fmt.Sprintf("%s/%x", station, life) }
+func memberID(station string, life uint64) string { return fmt.Sprintf("%s/%x", station, life) }
 
 // ward steps the ballots on.
 func (b *Bothy) ward(context.Context) {
@@ -279,8 +279,8 @@
 	say("roster version %d, %d workers, polled %.0f ms ago, %d taken away without the duty", b.roster.version, len(b.roster.listed), now-b.polled,
 		len(b.strikes.at))
 	roll := b.book.Members(now)
-	for i := range roll.Guests {
-		g := &roll.Guests[i]
+	for i := range roll.Members {
+		g := &roll.Members[i]
 		say("member %s zone %s at %s ready %t leaving %t", g.Station, g.Zone, g.Counter, g.Ready, g.Leaving)
 	}
 	return s, nil
@@ -291,5 +291,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Resolves++
-	return guestbook.Resolve(b.now(), b.book.Members(b.now()), region, zone, resolveMost)
+	return membership.Resolve(b.now(), b.book.Members(b.now()), region, zone, resolveMost)
 }
--- a/internal/bothy/sessions_test.go
+++ b/internal/bothy/sessions_test.go
@@ -8,8 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/traverse"
 	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
@@ -32,7 +32,7 @@
 // answer is what a gatekeeper with q hears at once.
 func (s *stand) answer(q waymark.Sign) waymark.Signed {
 	s.t.Helper()
-	q.Guest = guestbook.Guest{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: uint64(s.now() * 1e3), Inner: "10.0.0.1:7460", Ready: true}
+	q.Member = membership.Member{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: uint64(s.now() * 1e3), Inner: "10.0.0.1:7460", Ready: true}
 	a, err := s.sign(s.t.Context(), q)
 	assert.NilError(s.t, err)
 	return a
@@ -140,12 +140,12 @@
 func TestASignWaitsForNews(t *testing.T) {
 	s := open(t)
 	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 4}, State: state(4, 12)}, nil)
-	q := waymark.Sign{Edition: 12, Evac: 4, Wait: waitMost, Guest: guestbook.Guest{Station: "p", Life: 1}}
+	q := waymark.Sign{Edition: 12, Evac: 4, Wait: waitMost, Member: membership.Member{Station: "p", Life: 1}}
 	got := make(chan waymark.Signed, 1)
 	go func() {
 		defer close(got)
 		for t.Context().Err() == nil {
-			q.Guest.Turn++
+			q.Member.Turn++
 			if a, err := s.sign(t.Context(), q); err == nil && a.Edition == 13 {
 				got <- a
 				return
@@ -170,9 +170,9 @@
 	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 1}, State: state(1, 12), View: &cairn.View{No: 1, Core: []cairn.Ident{{Addr: "127.0.0.1:7461"}, {Addr: "127.0.0.2:7461"}}}}, nil)
 	s.mu.Lock()
 	s.asked = s.now()
-	q := waymark.Sign{Guest: guestbook.Guest{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Ready: true}}
-	s.book.Sign(s.now(), q.Guest)
-	s.book.Sign(s.now(), guestbook.Guest{Station: "q", Zone: "a2", Region: "a", Life: 2, Turn: 1, Inner: "10.0.0.2:7460", Ready: true})
+	q := waymark.Sign{Member: membership.Member{Station: "p", Zone: "a1", Region: "a", Life: 1, Turn: 1, Ready: true}}
+	s.book.Sign(s.now(), q.Member)
+	s.book.Sign(s.now(), membership.Member{Station: "q", Zone: "a2", Region: "a", Life: 2, Turn: 1, Inner: "10.0.0.2:7460", Ready: true})
 	born := s.now()
 	told := func(at float64) waymark.Signed { // by a clock of our own: s.now() is at born and goes on
 		a, _ := s.signed(q, at)
@@ -185,7 +185,7 @@
 		a := told(born)
 		assert.Assert(t, !a.Settled && a.Crowd == nil, "the other bothy was not heard")
 	}
-	s.book.Hear(s.now(), guestbook.Page{From: other, Life: 9, Serial: 1})
+	s.book.Hear(s.now(), membership.Page{From: other, Life: 9, Serial: 1})
 	if s.now() < crowdAfter {
 		a := told(born)
 		assert.Assert(t, a.Settled && a.Crowd == nil, "its sessions may not all be told yet")
@@ -204,7 +204,7 @@
 // round and round.
 func TestADrawIsPassedOnOnce(t *testing.T) {
 	heard := make(chan waymark.Draw, 9)
-	slices := map[string]cistern.Slice{"ana": {Rate: 2, Burst: 4}}
+	slices := map[string]quota.Slice{"ana": {Rate: 2, Burst: 4}}
 	addr := serve(t, func(server *traverse.Server) {
 		traverse.Handle(server, func(_ context.Context, q waymark.Draw) (waymark.Drawn, error) {
 			heard <- q
--- a/internal/bothy/shadow.go
+++ b/internal/bothy/shadow.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/xxh3"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/spur"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -155,8 +155,8 @@
 		taken[l.Addr] = true
 	}
 	roll := b.book.Members(b.now())
-	for i := range roll.Guests {
-		taken[roll.Guests[i].Counter], taken[roll.Guests[i].Inner] = true, true
+	for i := range roll.Members {
+		taken[roll.Members[i].Counter], taken[roll.Members[i].Inner] = true, true
 	}
 	for _, a := range []string{b.set.Gates.ControlDesk, b.set.Gates.DirectoryDesk} {
 		taken[a] = true
@@ -173,7 +173,7 @@
 
 // shadowNews puts a newer order for copies into an answer, and all seats for who copies. The lock
 // is held.
-func (b *Bothy) shadowNews(now, came float64, roll guestbook.Roll, q *waymark.Sign, a *waymark.Signed) (some bool) {
+func (b *Bothy) shadowNews(now, came float64, roll membership.Roll, q *waymark.Sign, a *waymark.Signed) (some bool) {
 	if o := b.state.Orders[OrderShadow]; o.No > q.Shadow {
 		a.Shadow, a.Order, some = o.No, o.Body, true
 	}
@@ -184,8 +184,8 @@
 	a.SeatsAt = asOf - pageAge - came
 	var seats []spur.Seat
 	var text strings.Builder
-	for i := range roll.Guests {
-		if g := &roll.Guests[i]; g.Counter != "" && !g.Leaving { // who leaves hands over what it has gathered
+	for i := range roll.Members {
+		if g := &roll.Members[i]; g.Counter != "" && !g.Leaving { // who leaves hands over what it has gathered
 			seats = append(seats, spur.Seat{Station: g.Station, Life: g.Life, Region: g.Region, Inner: g.Inner})
 			_, _ = fmt.Fprintf(&text, "%q %d %q %q\n", g.Station, g.Life, g.Region, g.Inner)
 		}
--- a/internal/bothy/shadow_test.go
+++ b/internal/bothy/shadow_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
@@ -43,7 +43,7 @@
 func TestAnOrderForCopies(t *testing.T) {
 	s := open(t)
 	s.roster.poll(0, 1, []waymark.Worker{{ID: "w", Destination: "a", Addr: "10.0.0.1:80"}})
-	s.book.Sign(s.now(), guestbook.Guest{Station: "p", Life: 1, Turn: 1, Counter: "10.0.0.2:80", Inner: "10.0.0.2:7460"})
+	s.book.Sign(s.now(), membership.Member{Station: "p", Life: 1, Turn: 1, Counter: "10.0.0.2:80", Inner: "10.0.0.2:7460"})
 	held := s.chained(cairn.Order{})
 	put := func(body string) (int, string) {
 		w := s.ask("control", "PUT", "/shadow", strings.NewReader(body))
@@ -117,7 +117,7 @@
 	}
 	all.Copies = true
 	assert.Assert(t, s.answer(all).SeatsNow == 0, "a member without a counter takes no requests")
-	s.book.Sign(s.now(), guestbook.Guest{Station: "q", Life: 5, Turn: 1, Region: "b", Counter: "10.0.0.2:80", Inner: "10.0.0.2:7460"})
+	s.book.Sign(s.now(), membership.Member{Station: "q", Life: 5, Turn: 1, Region: "b", Counter: "10.0.0.2:80", Inner: "10.0.0.2:7460"})
 	a = s.answer(all)
 	assert.Assert(t, a.Settled, "the test's bothy has heard all that there are")
 	assert.Equal(t, len(a.Seats), 1)
--- a/internal/larder/larder.go
+++ b/internal/larder/larder.go
@@ -10,7 +10,7 @@
 	"maps"
 	"slices"
 
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
 
@@ -313,7 +313,7 @@
 	}
 	asks = map[string]waymark.Subscribe{}
 	home := func(service string) string {
-		at := guestbook.HomeAmong(ready, z.Name, service)
+		at := membership.HomeAmong(ready, z.Name, service)
 		if at == z.Self || now < l.away[at] {
 			return ""
 		}
--- a/internal/larder/larder_test.go
+++ b/internal/larder/larder_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
 
@@ -42,7 +42,7 @@
 func TestWhomToAsk(t *testing.T) {
 	const zone = "z"
 	near := []string{"g1", "g2", "g3"}
-	home := func(service string) string { return guestbook.HomeAmong(near, zone, service) }
+	home := func(service string) string { return membership.HomeAmong(near, zone, service) }
 	news := &waymark.Signed{Edition: 7, Bulk: 900, Marks: marks(12, false, map[string]uint64{"d": 12})}
 	for _, c := range []struct {
 		name  string
--- a/internal/guestbook/alone_test.go
+++ b/internal/membership/alone_test.go
@@ -1,4 +1,4 @@
-package guestbook
+package membership
 
 import (
 	"testing"
@@ -8,8 +8,8 @@
 
 // TestResolvePassesOverTheOverloaded: who sheds alone is named only where nobody else can be.
 func TestResolvePassesOverTheOverloaded(t *testing.T) {
-	guest := func(name string, alone bool) Guest {
-		return Guest{Station: name, Zone: "a", Region: "r", Counter: name + ":80", Ready: true, Alone: alone}
+	guest := func(name string, alone bool) Member {
+		return Member{Station: name, Zone: "a", Region: "r", Counter: name + ":80", Ready: true, Alone: alone}
 	}
 	for _, c := range []struct {
 		alone []bool
@@ -20,7 +20,7 @@
 	} {
 		roll := Roll{}
 		for i, l := range c.alone {
-			roll.Guests = append(roll.Guests, guest("g"+string(rune('0'+i)), l))
+			roll.Members = append(roll.Members, guest("g"+string(rune('0'+i)), l))
 		}
 		got := map[string]bool{}
 		for _, a := range Resolve(0, roll, "r", "a", 9) {
--- a/internal/guestbook/guestbook.go
+++ b/internal/membership/membership.go
@@ -1,9 +1,9 @@
-// Package guestbook keeps who is a member: gatekeepers sign with one bothy each, the bothies
+// Package membership keeps who is a member: gatekeepers sign with one bothy each, the bothies
 // tell each other their sessions, and a gatekeeper is a member while it signs with any of them.
 //
 // Times are milliseconds of the caller's steady clock. Between bothies only ages travel, since
 // their clocks have nothing in common.
-package guestbook
+package membership
 
 import (
 	"fmt"
@@ -28,8 +28,8 @@
 	driftPart = 0.001
 )
 
-// Guest is what a gatekeeper says of itself when it signs.
-type Guest struct {
+// Member is what a gatekeeper says of itself when it signs.
+type Member struct {
 	Station string  `cbor:"1,keyasint,omitempty"`
 	Zone    string  `cbor:"2,keyasint,omitempty"`
 	Region  string  `cbor:"3,keyasint,omitempty"`
@@ -45,9 +45,9 @@
 
 // Session is a guest that signs with the bothy that tells it.
 type Session struct {
-	Guest Guest   `cbor:"1,keyasint,omitempty"`
-	AgeMs float64 `cbor:"2,keyasint,omitempty"` // since its last sign
-	Gone  bool    `cbor:"3,keyasint,omitempty"` // it has said goodbye
+	Member Member  `cbor:"1,keyasint,omitempty"`
+	AgeMs  float64 `cbor:"2,keyasint,omitempty"` // since its last sign
+	Gone   bool    `cbor:"3,keyasint,omitempty"` // it has said goodbye
 }
 
 // Page is what one bothy tells the others.
@@ -71,14 +71,14 @@
 
 // Roll is the members at one moment.
 type Roll struct {
-	Book    uint64  // life of the bothy; versions compare only within it
-	Version uint64  // rises when a member comes, goes or changes; Load alone doesn't count
-	Guests  []Guest // sorted by Station
+	Book    uint64   // life of the bothy; versions compare only within it
+	Version uint64   // rises when a member comes, goes or changes; Load alone doesn't count
+	Members []Member // sorted by Station
 }
 
 // Place is the station's place in the agreed order and how many have one; -1 if it has none.
 func (r Roll) Place(station string) (place, n int) {
-	i, ok := slices.BinarySearchFunc(r.Guests, station, func(g Guest, s string) int {
+	i, ok := slices.BinarySearchFunc(r.Members, station, func(g Member, s string) int {
 		if g.Station < s {
 			return -1
 		} else if g.Station > s {
@@ -87,14 +87,14 @@
 		return 0
 	})
 	if !ok {
-		return -1, len(r.Guests)
+		return -1, len(r.Members)
 	}
-	return i, len(r.Guests)
+	return i, len(r.Members)
 }
 
 // entry is the freshest that is known of a station, whoever told it.
 type entry struct {
-	guest Guest
+	guest Member
 	at    float64            // of its last sign
 	gone  bool               // it said goodbye
 	dead  map[uint64]float64 // lives that were replaced, and when
@@ -104,7 +104,7 @@
 
 // session is a sign given to this bothy.
 type session struct {
-	guest Guest
+	guest Member
 	at    float64
 	gone  bool
 }
@@ -157,7 +157,7 @@
 }
 
 // Sign takes a sign that was given to this bothy.
-func (b *Book) Sign(now float64, g Guest) {
+func (b *Book) Sign(now float64, g Member) {
 	if b.note(now, now, g, false) {
 		b.own[g.Station] = session{guest: g, at: now}
 	}
@@ -183,7 +183,7 @@
 	p := Page{From: b.self, Life: b.life, Serial: b.serial, At: math.Round(now) + 1}
 	for _, name := range slices.Sorted(maps.Keys(b.own)) {
 		s := b.own[name]
-		p.Sessions = append(p.Sessions, Session{Guest: s.guest, AgeMs: max(0, now-s.at), Gone: s.gone})
+		p.Sessions = append(p.Sessions, Session{Member: s.guest, AgeMs: max(0, now-s.at), Gone: s.gone})
 	}
 	return p
 }
@@ -217,7 +217,7 @@
 	}
 	t.serial, t.at = p.Serial, now
 	for _, s := range p.Sessions {
-		b.note(now, now-late-max(0, s.AgeMs), s.Guest, s.Gone)
+		b.note(now, now-late-max(0, s.AgeMs), s.Member, s.Gone)
 	}
 	if len(p.Briefs) == 0 {
 		return
@@ -266,7 +266,7 @@
 // page of it counts for nothing. Only when the life that replaced it has been silent for two
 // lapses does a dead one return; else a page that came very late could shut out a living
 // gatekeeper until its next start.
-func (b *Book) note(now, at float64, g Guest, gone bool) bool {
+func (b *Book) note(now, at float64, g Member, gone bool) bool {
 	if now-at > keepMs {
 		return false
 	}
@@ -312,7 +312,7 @@
 	return e != nil && now-e.last < within
 }
 
-// Members is the roll of now. Guests must not be changed by the caller; their Turn and Load may be
+// Members is the roll of now. Members must not be changed by the caller; their Turn and Load may be
 // those of a second ago. It is asked for at every sign, so it is made anew only where a member has
 // come, gone or changed, or may have lapsed.
 func (b *Book) Members(now float64) Roll {
@@ -321,22 +321,22 @@
 	}
 	b.sweep(now)
 	b.rollTo = now + b.lapse
-	var guests []Guest
+	var guests []Member
 	for _, name := range slices.Sorted(maps.Keys(b.entries)) {
 		if e := b.entries[name]; !e.gone && now-e.at <= b.lapse {
 			guests = append(guests, e.guest)
 			b.rollTo = min(b.rollTo, e.at+b.lapse)
 		}
 	}
-	if !slices.EqualFunc(guests, b.roll.Guests, same) {
+	if !slices.EqualFunc(guests, b.roll.Members, same) {
 		b.roll.Version++
 	}
-	b.roll.Guests = guests
+	b.roll.Members = guests
 	return b.roll
 }
 
 // same leaves out what changes with every sign: it would make a new version of each.
-func same(x, y Guest) bool {
+func same(x, y Member) bool {
 	x.Turn, x.Load = y.Turn, y.Load
 	return x == y
 }
--- a/internal/guestbook/guestbook_test.go
+++ b/internal/membership/membership_test.go
@@ -1,4 +1,4 @@
-package guestbook
+package membership
 
 import (
 	"fmt"
@@ -9,13 +9,13 @@
 	"gotest.tools/v3/assert"
 )
 
-func guest(station string, life, turn uint64) Guest {
-	return Guest{Station: station, Zone: "z1", Region: "r1", Life: life, Turn: turn, Counter: station + ":1", Ready: true}
+func guest(station string, life, turn uint64) Member {
+	return Member{Station: station, Zone: "z1", Region: "r1", Life: life, Turn: turn, Counter: station + ":1", Ready: true}
 }
 
 func stations(r Roll) []string {
 	names := []string{}
-	for _, g := range r.Guests {
+	for _, g := range r.Members {
 		names = append(names, g.Station)
 	}
 	return names
@@ -44,7 +44,7 @@
 		b.Sign(float64(i*500), g)
 		assert.Equal(t, b.Members(float64(i*500)).Version, uint64(2))
 	}
-	assert.Equal(t, b.Members(4500).Guests[0].Load, 9.0)
+	assert.Equal(t, b.Members(4500).Members[0].Load, 9.0)
 	g.Turn, g.Leaving = 20, true
 	b.Sign(4600, g)
 	assert.Equal(t, b.Members(4600).Version, uint64(3))
@@ -62,10 +62,10 @@
 	b2.Hear(70_600, page) // its clock began at 70 s, and the page was late
 	roll := b2.Members(70_600)
 	assert.DeepEqual(t, stations(roll), []string{"a"})
-	assert.Assert(t, roll.Guests[0].Leaving)
+	assert.Assert(t, roll.Members[0].Leaving)
 
 	b1.Hear(700, b2.Tell(70_700))
-	assert.Assert(t, b1.Members(700).Guests[0].Leaving)
+	assert.Assert(t, b1.Members(700).Members[0].Leaving)
 	assert.DeepEqual(t, stations(b1.Members(1900)), []string{"a"})
 	assert.DeepEqual(t, stations(b1.Members(2100)), []string{})
 }
@@ -86,7 +86,7 @@
 	again.Sign(5000, guest("a", 7, 2))
 	b2.Hear(2600, again.Tell(5000))
 	assert.DeepEqual(t, stations(b2.Members(2600)), []string{"a"})
-	late := Page{From: "b1", Life: 1, Serial: 99, Sessions: []Session{{Guest: guest("x", 1, 1)}}}
+	late := Page{From: "b1", Life: 1, Serial: 99, Sessions: []Session{{Member: guest("x", 1, 1)}}}
 	b2.Hear(2700, late)
 	assert.DeepEqual(t, stations(b2.Members(2700)), []string{"a"})
 }
@@ -96,13 +96,13 @@
 	b.Sign(0, guest("a", 7, 50))
 	b.Sign(100, guest("a", 8, 1))
 	b.Sign(200, guest("a", 7, 51))
-	assert.Equal(t, b.Members(200).Guests[0].Life, uint64(8))
-	b.Hear(300, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Guest: guest("a", 7, 52)}}})
-	assert.Equal(t, b.Members(300).Guests[0].Life, uint64(8))
+	assert.Equal(t, b.Members(200).Members[0].Life, uint64(8))
+	b.Hear(300, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Member: guest("a", 7, 52)}}})
+	assert.Equal(t, b.Members(300).Members[0].Life, uint64(8))
 
 	// A page that came very late must not shut out the living for good.
 	b.Sign(5000, guest("a", 7, 60))
-	assert.Equal(t, b.Members(5000).Guests[0].Life, uint64(7))
+	assert.Equal(t, b.Members(5000).Members[0].Life, uint64(7))
 }
 
 // TestAgain: what a life may take once counts from when it was first heard of, whoever told.
@@ -111,7 +111,7 @@
 	b.Sign(0, guest("a", 7, 50))
 	assert.Assert(t, !b.Again(10, "a", 7000), "a first life")
 	b.Sign(3000, guest("a", 7, 80))
-	b.Hear(4000, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Guest: guest("a", 8, 1)}}})
+	b.Hear(4000, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Member: guest("a", 8, 1)}}})
 	assert.Assert(t, b.Again(6999, "a", 7000))
 	assert.Assert(t, !b.Again(7000, "a", 7000))
 	b.Sign(8000, guest("a", 9, 1))
@@ -123,9 +123,9 @@
 func TestAnUnknownLifeWithAnOlderSignIsDead(t *testing.T) {
 	b := New("b1", 1, 0, 0)
 	b.Sign(1000, guest("a", 8, 1))
-	b.Hear(1100, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Guest: guest("a", 7, 9), AgeMs: 500}}})
-	b.Hear(1200, Page{From: "b2", Life: 1, Serial: 2, Sessions: []Session{{Guest: guest("a", 7, 9), AgeMs: 10}}})
-	assert.Equal(t, b.Members(1200).Guests[0].Life, uint64(8))
+	b.Hear(1100, Page{From: "b2", Life: 1, Serial: 1, Sessions: []Session{{Member: guest("a", 7, 9), AgeMs: 500}}})
+	b.Hear(1200, Page{From: "b2", Life: 1, Serial: 2, Sessions: []Session{{Member: guest("a", 7, 9), AgeMs: 10}}})
+	assert.Equal(t, b.Members(1200).Members[0].Life, uint64(8))
 }
 
 func TestAGoodbyeHoldsEverywhere(t *testing.T) {
@@ -202,7 +202,7 @@
 }
 
 func TestPlace(t *testing.T) {
-	r := Roll{Guests: []Guest{{Station: "a"}, {Station: "c"}}}
+	r := Roll{Members: []Member{{Station: "a"}, {Station: "c"}}}
 	place, n := r.Place("c")
 	assert.Equal(t, place, 1)
 	assert.Equal(t, n, 2)
@@ -211,18 +211,18 @@
 }
 
 // crowd is members written as "zone count" with the region the zone's first letter.
-func crowd(per map[string]int, change func(*Guest)) Roll {
+func crowd(per map[string]int, change func(*Member)) Roll {
 	var r Roll
 	for zone, n := range per {
 		for i := range n {
-			g := Guest{Station: fmt.Sprint(zone, "-", i), Zone: zone, Region: zone[:1], Counter: fmt.Sprint(zone, "-", i), Inner: fmt.Sprint(zone, "-", i), Ready: true}
+			g := Member{Station: fmt.Sprint(zone, "-", i), Zone: zone, Region: zone[:1], Counter: fmt.Sprint(zone, "-", i), Inner: fmt.Sprint(zone, "-", i), Ready: true}
 			if change != nil {
 				change(&g)
 			}
-			r.Guests = append(r.Guests, g)
+			r.Members = append(r.Members, g)
 		}
 	}
-	slices.SortFunc(r.Guests, func(a, b Guest) int {
+	slices.SortFunc(r.Members, func(a, b Member) int {
 		if a.Station < b.Station {
 			return -1
 		}
@@ -235,7 +235,7 @@
 	for _, c := range []struct {
 		name   string
 		per    map[string]int
-		change func(*Guest)
+		change func(*Member)
 		want   map[string]int
 	}{
 		{"the zone's own", map[string]int{"a1": 3, "a2": 3, "b1": 3}, nil, map[string]int{"a1": 3}},
@@ -243,9 +243,9 @@
 		{"none in the region", map[string]int{"b1": 3, "c1": 1}, nil, map[string]int{"b1": 3, "c1": 1}},
 		{"a zone that lost most", map[string]int{"a1": 2, "a2": 9, "b1": 3}, nil, map[string]int{"a1": 2, "a2": 9}},
 		{"a zone with half of the rest", map[string]int{"a1": 2, "a2": 4}, nil, map[string]int{"a1": 2}},
-		{"those leaving don't count", map[string]int{"a1": 3, "a2": 1}, func(g *Guest) { g.Leaving = g.Zone == "a1" }, map[string]int{"a2": 1}},
-		{"nobody ready", map[string]int{"a1": 2, "a2": 2}, func(g *Guest) { g.Ready = false }, map[string]int{"a1": 2}},
-		{"all leaving", map[string]int{"b1": 2}, func(g *Guest) { g.Leaving = true }, map[string]int{"b1": 2}},
+		{"those leaving don't count", map[string]int{"a1": 3, "a2": 1}, func(g *Member) { g.Leaving = g.Zone == "a1" }, map[string]int{"a2": 1}},
+		{"nobody ready", map[string]int{"a1": 2, "a2": 2}, func(g *Member) { g.Ready = false }, map[string]int{"a1": 2}},
+		{"all leaving", map[string]int{"b1": 2}, func(g *Member) { g.Leaving = true }, map[string]int{"b1": 2}},
 		{"nobody", nil, nil, map[string]int{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -286,7 +286,7 @@
 
 func TestHomeMovesOnlyWhatItMust(t *testing.T) {
 	roll := crowd(map[string]int{"a1": 5, "a2": 2}, nil)
-	less := Roll{Guests: slices.DeleteFunc(slices.Clone(roll.Guests), func(g Guest) bool { return g.Station == "a1-2" })}
+	less := Roll{Members: slices.DeleteFunc(slices.Clone(roll.Members), func(g Member) bool { return g.Station == "a1-2" })}
 	homes := map[string]int{}
 	for i := range 500 {
 		service := fmt.Sprint("s", i)
@@ -371,7 +371,7 @@
 		for i := range books {
 			roll := books[i].Members(20_000 + skew[i])
 			got := map[string]uint64{}
-			for _, g := range roll.Guests {
+			for _, g := range roll.Members {
 				got[g.Station] = g.Life
 			}
 			want := map[string]uint64{}
@@ -396,7 +396,7 @@
 	assert.Equal(t, a.Mark(1400), mark, "turns and ages are no change")
 	b.Hear(1400, a.Brief(1400))
 	assert.DeepEqual(t, stations(b.Members(1600)), []string{"g1"})
-	assert.Equal(t, b.Members(1600).Guests[0].Turn, uint64(5))
+	assert.Equal(t, b.Members(1600).Members[0].Turn, uint64(5))
 
 	a.Sign(1700, guest("g3", 13, 1))
 	assert.Assert(t, a.Mark(1700) != mark, "a guest that is new wants a whole page")
@@ -421,23 +421,23 @@
 		now := 0.0
 		for step := range 400 {
 			now += float64(r.IntN(40))
-			g := Guest{Station: string(rune('a' + r.IntN(5))), Life: uint64(1 + r.IntN(2)), Turn: uint64(step), Ready: r.IntN(9) > 0}
+			g := Member{Station: string(rune('a' + r.IntN(5))), Life: uint64(1 + r.IntN(2)), Turn: uint64(step), Ready: r.IntN(9) > 0}
 			switch r.IntN(8) {
 			case 0:
 				asked.Leave(now, g.Station, g.Life)
 				other.Leave(now, g.Station, g.Life)
 			case 1:
-				p := Page{From: "b", Life: 2, Serial: uint64(step), Sessions: []Session{{Guest: g, AgeMs: float64(r.IntN(150)), Gone: r.IntN(6) == 0}}}
+				p := Page{From: "b", Life: 2, Serial: uint64(step), Sessions: []Session{{Member: g, AgeMs: float64(r.IntN(150)), Gone: r.IntN(6) == 0}}}
 				asked.Hear(now, p)
 				other.Hear(now, p)
 			default:
 				asked.Sign(now, g)
 				other.Sign(now, g)
 			}
-			got := asked.Members(now).Guests
+			got := asked.Members(now).Members
 			if r.IntN(10) == 0 {
 				other.rollTo = 0
-				want := other.Members(now).Guests
+				want := other.Members(now).Members
 				assert.Assert(t, slices.EqualFunc(got, want, same), "seed %d step %d: %v and %v", seed, step, got, want)
 			}
 		}
@@ -457,15 +457,15 @@
 	hear(0, slow)
 	teller.Sign(skew+500, guest("a", 1, 2))
 	hear(600, 600+slow)
-	assert.Equal(t, len(hearer.Members(700).Guests), 1)
+	assert.Equal(t, len(hearer.Members(700).Members), 1)
 	teller.Sign(skew+1000, guest("a", 1, 3))
 	for _, page := range []Page{teller.Tell(skew + 1100), teller.Brief(skew + 1100)} { // made, and sent after 20 s
 		hearer.Hear(21_100, page)
-		assert.Equal(t, len(hearer.Members(21_100).Guests), 0)
+		assert.Equal(t, len(hearer.Members(21_100).Members), 0)
 	}
 	teller.Sign(skew+21_200, guest("a", 1, 4)) // it lives
 	hear(21_300, 21_300+slow)
-	assert.Equal(t, len(hearer.Members(21_400).Guests), 1)
+	assert.Equal(t, len(hearer.Members(21_400).Members), 1)
 
 	// The teller's clock loses half a millisecond a second: over hours nothing of that is taken for age.
 	turn := uint64(5)
@@ -474,6 +474,6 @@
 		turn++
 		teller.Sign(skew+made, guest("a", 1, turn))
 		hear(made, now+slow)
-		assert.Equal(t, len(hearer.Members(now+slow+1000).Guests), 1, "at %v", now)
+		assert.Equal(t, len(hearer.Members(now+slow+1000).Members), 1, "at %v", now)
 	}
 }
--- a/internal/guestbook/resolve.go
+++ b/internal/membership/resolve.go
@@ -1,4 +1,4 @@
-package guestbook
+package membership
 
 import (
 	"cmp"
@@ -28,11 +28,11 @@
 //
 // The zone's own come first, then the region's, in an order that each zone has for itself.
 func Resolve(now float64, roll Roll, region, zone string, most int) []string {
-	for _, fit := range []func(Guest) bool{
-		func(g Guest) bool { return g.Ready && !g.Leaving && !g.Alone },
-		func(g Guest) bool { return g.Ready && !g.Leaving },
-		func(g Guest) bool { return !g.Leaving },
-		func(Guest) bool { return true },
+	for _, fit := range []func(Member) bool{
+		func(g Member) bool { return g.Ready && !g.Leaving && !g.Alone },
+		func(g Member) bool { return g.Ready && !g.Leaving },
+		func(g Member) bool { return !g.Leaving },
+		func(Member) bool { return true },
 	} {
 		if found := pick(now, roll, fit, region, zone, most); len(found) > 0 {
 			return found
@@ -41,10 +41,10 @@
 	return nil
 }
 
-func pick(now float64, roll Roll, fit func(Guest) bool, region, zone string, most int) []string {
-	var own, near, far []Guest
+func pick(now float64, roll Roll, fit func(Member) bool, region, zone string, most int) []string {
+	var own, near, far []Member
 	zones := map[string]bool{zone: true}
-	for _, g := range roll.Guests {
+	for _, g := range roll.Members {
 		switch {
 		case g.Counter == "" || !fit(g):
 		case g.Zone == zone:
@@ -56,7 +56,7 @@
 			far = append(far, g)
 		}
 	}
-	groups := [][]Guest{own}
+	groups := [][]Member{own}
 	if len(own) < fewest || 2*len(own)*len(zones) < len(own)+len(near) {
 		groups = append(groups, near)
 	}
@@ -65,7 +65,7 @@
 	}
 	var found []string
 	for _, group := range groups {
-		slices.SortFunc(group, func(a, b Guest) int {
+		slices.SortFunc(group, func(a, b Member) int {
 			return cmp.Or(cmp.Compare(rank(zone, a.Station), rank(zone, b.Station)), cmp.Compare(a.Station, b.Station))
 		})
 		first, room := 0, most-len(found)
@@ -83,7 +83,7 @@
 // members. "" if none.
 func Home(roll Roll, zone, service string) string {
 	var ready []string
-	for _, g := range roll.Guests {
+	for _, g := range roll.Members {
 		if g.Zone == zone && g.Ready && !g.Leaving {
 			ready = append(ready, g.Inner)
 		}
--- a/internal/guestbook/scale_bench_test.go
+++ b/internal/membership/scale_bench_test.go
@@ -1,12 +1,12 @@
-package guestbook
+package membership
 
 import (
 	"fmt"
 	"testing"
 )
 
-func scaleGuest(i int) Guest {
-	return Guest{Station: fmt.Sprintf("counter-%06d", i), Zone: fmt.Sprint("z", i%81), Region: fmt.Sprint("r", i%23), Life: uint64(i) + 1<<60, Turn: 1,
+func scaleGuest(i int) Member {
+	return Member{Station: fmt.Sprintf("counter-%06d", i), Zone: fmt.Sprint("z", i%81), Region: fmt.Sprint("r", i%23), Life: uint64(i) + 1<<60, Turn: 1,
 		Counter: fmt.Sprintf("10.%d.%d.%d:8206", i>>16, i>>8&255, i&255), Inner: fmt.Sprintf("10.%d.%d.%d:7460", i>>16, i>>8&255, i&255), Ready: true}
 }
 
--- a/internal/cistern/cistern.go
+++ b/internal/quota/quota.go
@@ -1,4 +1,4 @@
-// Package cistern allots tenants' quotas to gatekeepers under leases.
+// Package quota allots tenants' quotas to gatekeepers under leases.
 //
 // One bothy, the one that has the duty, runs an Allotter; every other one keeps its own
 // beside it fed with terms and members, so that who lapsed is known when the duty changes.
@@ -9,7 +9,7 @@
 // window of W seconds then lets through rate x W + store at most, whoever is cut off,
 // killed or lied to by a lost answer; and the kicks of those that start in it. What nobody holds fills a pool, from which those
 // whose buckets are low are helped by whole tokens.
-package cistern
+package quota
 
 import (
 	"math"
--- a/internal/cistern/quotas.go
+++ b/internal/quota/quotas.go
@@ -1,4 +1,4 @@
-package cistern
+package quota
 
 import (
 	"iter"
--- a/internal/cistern/scale_bench_test.go
+++ b/internal/quota/scale_bench_test.go
@@ -1,4 +1,4 @@
-package cistern
+package quota
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 // BenchmarkScale is what a gatekeeper's asking costs the allotter, by gatekeepers and tenants, and what
 // it holds. Quotas are as large as the fleet, so none is thin.
 //
-//	go test ./internal/cistern -run xxx -bench Scale -benchtime 200x
+//	go test ./internal/quota -run xxx -bench Scale -benchtime 200x
 func BenchmarkScale(b *testing.B) {
 	for _, c := range []struct{ gates, tenants int }{{30, 77}, {100, 77}, {300, 77}, {1000, 77}, {3000, 77}, {10_000, 10}, {300, 10}, {300, 1000}} {
 		b.Run(fmt.Sprintf("%d-gatekeepers/%d-tenants", c.gates, c.tenants), func(b *testing.B) {
--- a/internal/scaletest/gatekeeper.go
+++ b/internal/scaletest/gatekeeper.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
@@ -29,7 +29,7 @@
 // hollow is a gatekeeper's side of control: its session, what it holds and hands on, its slices. It has no clients,
 // no workers' links and no decision module, and it does not read the configuration.
 type hollow struct {
-	guest    guestbook.Guest
+	guest    membership.Member
 	controls []string // bothies, those to sign with first in front
 	tenants  tenants
 	tell     func(edition uint64, at time.Time)
@@ -42,7 +42,7 @@
 	cores  uint64
 	at     string // the bothy signed with
 	away   map[string]time.Time
-	held   map[string]cistern.Slice
+	held   map[string]quota.Slice
 	heldTo time.Time
 	rates  map[string]float64 // of the last answer
 
@@ -105,7 +105,7 @@
 		}
 		h.mu.Lock()
 		h.at, h.guest.Turn, h.guest.Ready = to, turn, h.larder.Edition() > 0
-		q := waymark.Sign{Guest: h.guest, Crowd: h.crowd.Mark, Cores: h.cores, Wait: signWait}
+		q := waymark.Sign{Member: h.guest, Crowd: h.crowd.Mark, Cores: h.cores, Wait: signWait}
 		h.larder.Question(&q)
 		h.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, signMost)
@@ -241,9 +241,9 @@
 
 // take notes what was allotted. The lock is held.
 func (h *hollow) take(a waymark.Drawn, asked time.Time) {
-	h.held, h.rates = map[string]cistern.Slice{}, map[string]float64{}
+	h.held, h.rates = map[string]quota.Slice{}, map[string]float64{}
 	for name, s := range waymark.Unpack(a.Slices) {
-		if s != (cistern.Slice{}) {
+		if s != (quota.Slice{}) {
 			h.held[name], h.rates[name] = s, s.Rate
 		}
 	}
@@ -259,9 +259,9 @@
 	}
 	everyone := append(slices.Clone(h.crowd.Peers), h.guest.Inner)
 	for name, terms := range h.tenants {
-		if !cistern.Thin(terms, quotaBounds, h.crowd.Count) {
+		if !quota.Thin(terms, quotaBounds, h.crowd.Count) {
 			out[name] = 3.7
-		} else if guestbook.HomeAmong(everyone, "", name) == h.guest.Inner {
+		} else if membership.HomeAmong(everyone, "", name) == h.guest.Inner {
 			out[name] = 0.5
 		}
 	}
@@ -288,7 +288,7 @@
 		zone := i % o.Zones
 		ip := o.ip(gatePart+i/200, i%200)
 		h := &hollow{tenants: tenants, start: time.Now(), larder: larder.New(), news: make(chan struct{}), away: map[string]time.Time{},
-			guest: guestbook.Guest{Station: fmt.Sprintf("counter-%06d", i), Zone: zoneName(zone), Region: o.region(zone), Life: uint64(i) + 1<<60,
+			guest: membership.Member{Station: fmt.Sprintf("counter-%06d", i), Zone: zoneName(zone), Region: o.region(zone), Life: uint64(i) + 1<<60,
 				Counter: net.JoinHostPort(ip, "8080"), Inner: net.JoinHostPort(ip, fmt.Sprint(dock))}}
 		h.controls = o.controls(i)
 		h.tell = func(edition uint64, at time.Time) {
--- a/internal/scaletest/scaletest.go
+++ b/internal/scaletest/scaletest.go
@@ -21,7 +21,7 @@
 	"github.com/zeebo/xxh3"
 
 	"foxwood/internal/bothy"
-	"foxwood/internal/cistern"
+	"foxwood/internal/quota"
 	"foxwood/internal/store"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
@@ -42,9 +42,9 @@
 }
 
 // tenants is the quotas by name.
-type tenants map[string]cistern.Terms
+type tenants map[string]quota.Terms
 
-var quotaBounds = cistern.Bounds{WindowS: 5, Excess: 0.1, Slack: 20}
+var quotaBounds = quota.Bounds{WindowS: 5, Excess: 0.1, Slack: 20}
 
 func zoneName(z int) string { return fmt.Sprint("z", z) }
 
@@ -86,7 +86,7 @@
 	out := tenants{}
 	for i := range o.Tenants {
 		rate := math.Ceil(float64(o.Gatekeepers) * 9 / float64(i+1)) // whole, as the configuration tells it
-		out[fmt.Sprint("sese", i)] = cistern.Terms{RatePerS: rate, Surge: rate}
+		out[fmt.Sprint("sese", i)] = quota.Terms{RatePerS: rate, Surge: rate}
 	}
 	return out
 }
--- a/internal/switchback/bulletin.go
+++ b/internal/switchback/bulletin.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"foxwood/internal/bulletin"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
@@ -56,7 +56,7 @@
 	now := p.clock.Now()
 	var calls []func()
 	for _, s := range p.order {
-		home := guestbook.HomeAmong(ready, p.set.Zone, s.name)
+		home := membership.HomeAmong(ready, p.set.Zone, s.name)
 		if seen := s.core.Sightings(); len(seen) > 0 {
 			h.counts.Told++
 			q := waymark.Seen{From: self, Destination: s.name, Sights: bulletin.Sights(seen)}
--- a/internal/switchback/drain_test.go
+++ b/internal/switchback/drain_test.go
@@ -51,11 +51,11 @@
 		assert.Equal(t, ask("/ready"), map[bool]int{true: 503, false: 200}[final])
 		s.hear(waymark.Signed{Edition: 1}, nil)
 		assert.Equal(t, ask("/ready?x=1"), 200)
-		s.on(func() { assert.Check(t, s.question().Guest.Ready) })
+		s.on(func() { assert.Check(t, s.question().Member.Ready) })
 		s.on(func() { s.draining = true })
 		assert.Equal(t, ask("/ready"), 503)
 		s.on(func() {
-			g := s.question().Guest
+			g := s.question().Member
 			assert.Check(t, !g.Ready && g.Leaving)
 		})
 	}
--- a/internal/switchback/placing_test.go
+++ b/internal/switchback/placing_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/cistern"
+	"foxwood/internal/quota"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
@@ -427,7 +427,7 @@
 	assert.NilError(t, err)
 	server := traverse.NewServer()
 	answers := make(chan error, 9)
-	slices := map[string]cistern.Slice{"ana": {Rate: 1, Burst: 9, Floor: 1, FloorBurst: 9, Tokens: 9, Kick: 4}}
+	slices := map[string]quota.Slice{"ana": {Rate: 1, Burst: 9, Floor: 1, FloorBurst: 9, Tokens: 9, Kick: 4}}
 	traverse.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
 		return waymark.Drawn{Slices: waymark.Pack(slices), Lease: 60000}, <-answers
 	})
@@ -473,7 +473,7 @@
 	ln, err := traverse.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := traverse.NewServer()
-	var slices map[string]cistern.Slice
+	var slices map[string]quota.Slice
 	traverse.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
 		if slices == nil {
 			return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
@@ -505,7 +505,7 @@
 	s.on(func() { s.again, s.kicked = false, false })
 	assert.Assert(t, spent() > 0)
 	assert.Equal(t, spent(), 0)
-	slices = map[string]cistern.Slice{"ana": {Kick: 4}}
+	slices = map[string]quota.Slice{"ana": {Kick: 4}}
 	assert.Equal(t, spent(), 0, "the floors' were taken")
 	s.on(func() { s.kicked = false })
 	assert.Equal(t, spent(), 4)
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -15,9 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"foxwood/gatekeeper"
-	"foxwood/internal/cistern"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
+	"foxwood/internal/quota"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
@@ -80,7 +80,7 @@
 	workers   map[string]*worker
 	turns     map[string]uint64 // of the destinations' workers that are in force
 	crowd     waymark.Crowd
-	quotas    cistern.Bounds
+	quotas    quota.Bounds
 	thins     map[string]*thinTenant
 	owned     owned
 	askers    map[string]*asker
@@ -129,7 +129,7 @@
 		tenants: policy.NewTenants(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*traverse.Peer{},
 		seeds: make(chan []string, 1), limits: &http1.Limits{}, patience: tokenMost, connect: connectMax}
 	b := set.Bounds
-	p.quotas = cistern.BoundsOf(&b)
+	p.quotas = quota.BoundsOf(&b)
 	p.tries = policy.NewTries(p.micros(), policy.TriesRule{Window: policy.Micros(b.RetryWindowS * 1e6), Ratio: b.RetryRatio, Slack: b.RetrySlack})
 	p.tenants.FloorFor = floorFor
 	p.front = &front{p: p}
--- a/internal/switchback/relay_test.go
+++ b/internal/switchback/relay_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/guestbook"
 	"foxwood/internal/larder"
+	"foxwood/internal/membership"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -47,8 +47,8 @@
 	traverse.Handle(v.bothy, func(_ context.Context, q waymark.Sign) (waymark.Signed, error) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.heard[q.Guest.Station] = append(v.heard[q.Guest.Station], q)
-		return v.say[q.Guest.Station], nil
+		v.heard[q.Member.Station] = append(v.heard[q.Member.Station], q)
+		return v.say[q.Member.Station], nil
 	})
 	go func() { _ = v.bothy.Serve(ln) }()
 	t.Cleanup(v.bothy.Close)
@@ -122,7 +122,7 @@
 		Crowd: &waymark.Crowd{Mark: 1, Place: 0, Count: 2, Peers: []string{v.at(1)}, Near: []int{1}}})
 	v.sign(b, waymark.Signed{Edition: 1, Body: body(1), Marks: m, Parts: parts, Settled: true,
 		Crowd: &waymark.Crowd{Mark: 2, Place: 1, Count: 2, Peers: []string{v.at(0)}, Near: []int{0}}})
-	if guestbook.HomeAmong([]string{v.at(0), v.at(1)}, "z", "d") == v.at(0) {
+	if membership.HomeAmong([]string{v.at(0), v.at(1)}, "z", "d") == v.at(0) {
 		return a, b, sa
 	}
 	return b, a, sb
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -174,7 +174,7 @@
 
 // question is what a sign says. On the loop.
 func (p *Proxy) question() waymark.Sign {
-	q := waymark.Sign{Guest: p.guest(), Crowd: p.crowd.Mark, Cores: p.coresMark, Wait: signWait}
+	q := waymark.Sign{Member: p.guest(), Crowd: p.crowd.Mark, Cores: p.coresMark, Wait: signWait}
 	p.relay.do(func(float64) { p.relay.larder.Question(&q) })
 	if p.shadow != nil {
 		q.Copies, q.Seats = q.Shadow > 0, p.shadow.seatMark
@@ -182,9 +182,9 @@
 	return q
 }
 
-func (p *Proxy) guest() guestbook.Guest {
+func (p *Proxy) guest() membership.Member {
 	p.turn++
-	return guestbook.Guest{Station: p.set.Station, Zone: p.set.Zone, Region: p.set.Region, Life: p.life, Turn: p.turn,
+	return membership.Member{Station: p.set.Station, Zone: p.set.Zone, Region: p.set.Region, Life: p.life, Turn: p.turn,
 		Counter: p.set.Gates.Counter, Inner: p.set.Inner(0), Ready: p.ready(), Leaving: p.draining, Alone: p.shedsAlone()}
 }
 
@@ -264,7 +264,7 @@
 func (p *Proxy) enforce(t *timetable.Timetable) {
 	p.table, p.stays = t, make([]policy.Patience, len(t.Courses))
 	var limited []string
-	for name := range cistern.Limited(t) {
+	for name := range quota.Limited(t) {
 		limited = append(limited, name)
 	}
 	p.tenants.Limits(p.micros(), limited)
@@ -313,10 +313,10 @@
 		p.turn++
 		asked = p.clock.Now()
 		holding, left := p.tenants.Holding(p.micros())
-		held := make(map[string]cistern.Slice, len(holding))
+		held := make(map[string]quota.Slice, len(holding))
 		for name, s := range holding {
 			if s != (policy.TenantSlice{}) { // of most thin quotas nothing is held here
-				held[name] = cistern.Slice(s)
+				held[name] = quota.Slice(s)
 			}
 		}
 		q = waymark.Draw{Station: p.set.Station, Life: p.life, Turn: p.turn, Demand: map[string]float32{}, Holding: waymark.Pack(held),
@@ -350,7 +350,7 @@
 		}
 		p.drawn = true
 		p.slowStart.Take(a.SlowStart, asked, a.Lease)
-		fresh := p.clock.Now()-asked <= cistern.TokensMs
+		fresh := p.clock.Now()-asked <= quota.TokensMs
 		of := make(map[string]policy.TenantSlice, len(a.Slices))
 		for name, s := range waymark.Unpack(a.Slices) {
 			if !fresh { // what it may add has been given up
@@ -374,8 +374,8 @@
 		return
 	}
 	of := map[string]policy.TenantSlice{}
-	for name, terms := range cistern.Limited(p.table) {
-		f := cistern.Floor(name, terms, p.quotas, p.place, p.members)
+	for name, terms := range quota.Limited(p.table) {
+		f := quota.Floor(name, terms, p.quotas, p.place, p.members)
 		if p.kicked || p.again {
 			f.Kick = 0
 		}
--- a/internal/switchback/tokens.go
+++ b/internal/switchback/tokens.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"foxwood/gatekeeper"
-	"foxwood/internal/cistern"
 	"foxwood/internal/link"
+	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -56,11 +56,11 @@
 
 // thin tells whether a tenant's quota is.
 func (p *Proxy) thin(s *timetable.Sender) bool {
-	return p.isThin(cistern.TermsOf(s))
+	return p.isThin(quota.TermsOf(s))
 }
 
-func (p *Proxy) isThin(t cistern.Terms) bool {
-	return p.members > 1 && cistern.Thin(t, p.quotas, p.members)
+func (p *Proxy) isThin(t quota.Terms) bool {
+	return p.members > 1 && quota.Thin(t, p.quotas, p.members)
 }
 
 // drawOn draws on a tenant's bucket for a request, here or at the tenant's home, and hands the
@@ -117,7 +117,7 @@
 	o := &p.owned
 	if o.table != p.table || o.members != p.members || o.mark != p.crowd.Mark {
 		*o = owned{table: p.table, members: p.members, mark: p.crowd.Mark}
-		for name, terms := range cistern.Limited(p.table) {
+		for name, terms := range quota.Limited(p.table) {
 			if p.isThin(terms) && p.thinOf(name).homes[0] == p.set.Inner(0) {
 				o.names = append(o.names, name)
 			}
--- a/internal/waymark/waymark.go
+++ b/internal/waymark/waymark.go
@@ -7,8 +7,8 @@
 	"math"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cistern"
-	"foxwood/internal/guestbook"
+	"foxwood/internal/membership"
+	"foxwood/internal/quota"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/spur"
 )
@@ -16,14 +16,14 @@
 // Sign is how a gatekeeper keeps its session and hears the news: it is answered at the first
 // news or when Wait is over.
 type Sign struct {
-	Guest   guestbook.Guest `cbor:"1,keyasint,omitempty"`
-	Edition uint64          `cbor:"2,keyasint,omitempty"` // of the configuration held
-	Evac    uint64          `cbor:"3,keyasint,omitempty"` // number of the evacuations held
-	Roster  uint64          `cbor:"4,keyasint,omitempty"` // version of the workers that it has heard of
-	Crowd   uint64          `cbor:"5,keyasint,omitempty"` // mark of the crowd held
-	Cores   uint64          `cbor:"6,keyasint,omitempty"` // and of the core machines
-	Wait    float64         `cbor:"7,keyasint,omitempty"`
-	Leaving bool            `cbor:"8,keyasint,omitempty"`
+	Member  membership.Member `cbor:"1,keyasint,omitempty"`
+	Edition uint64            `cbor:"2,keyasint,omitempty"` // of the configuration held
+	Evac    uint64            `cbor:"3,keyasint,omitempty"` // number of the evacuations held
+	Roster  uint64            `cbor:"4,keyasint,omitempty"` // version of the workers that it has heard of
+	Crowd   uint64            `cbor:"5,keyasint,omitempty"` // mark of the crowd held
+	Cores   uint64            `cbor:"6,keyasint,omitempty"` // and of the core machines
+	Wait    float64           `cbor:"7,keyasint,omitempty"`
+	Leaving bool              `cbor:"8,keyasint,omitempty"`
 	// Body and Want tell what it has heard of and has not got from its zone's homes, by
 	// destination with the version held: it wants that from here.
 	Body bool              `cbor:"9,keyasint,omitempty"`
@@ -124,11 +124,11 @@
 
 // Gossip is what a bothy tells the others.
 type Gossip struct {
-	From   string         `cbor:"1,keyasint,omitempty"`
-	Zone   string         `cbor:"2,keyasint,omitempty"`
-	Page   guestbook.Page `cbor:"3,keyasint,omitempty"`
-	Roster uint64         `cbor:"4,keyasint,omitempty"` // version held
-	Struck []Struck       `cbor:"5,keyasint,omitempty"`
+	From   string          `cbor:"1,keyasint,omitempty"`
+	Zone   string          `cbor:"2,keyasint,omitempty"`
+	Page   membership.Page `cbor:"3,keyasint,omitempty"`
+	Roster uint64          `cbor:"4,keyasint,omitempty"` // version held
+	Struck []Struck        `cbor:"5,keyasint,omitempty"`
 }
 
 // Heard answers Gossip.
@@ -148,11 +148,11 @@
 	Passed    bool               `cbor:"7,keyasint,omitempty"`
 }
 
-// Slice is a slice on the wire: seven figures, in the order of cistern's.
+// Slice is a slice on the wire: seven figures, in the order of quota's.
 type Slice [7]float32
 
 // Pack makes slices small; what a gatekeeper may use is never made larger by it.
-func Pack(of map[string]cistern.Slice) map[string]Slice {
+func Pack(of map[string]quota.Slice) map[string]Slice {
 	out := make(map[string]Slice, len(of))
 	for name, s := range of {
 		out[name] = Slice{small(s.Rate), small(s.Burst), small(s.Floor), small(s.FloorBurst), small(s.Tokens), small(s.Wants), small(s.Kick)}
@@ -161,10 +161,10 @@
 }
 
 // Unpack is the slices.
-func Unpack(of map[string]Slice) map[string]cistern.Slice {
-	out := make(map[string]cistern.Slice, len(of))
+func Unpack(of map[string]Slice) map[string]quota.Slice {
+	out := make(map[string]quota.Slice, len(of))
 	for name, s := range of {
-		out[name] = cistern.Slice{Rate: float64(s[0]), Burst: float64(s[1]), Floor: float64(s[2]), FloorBurst: float64(s[3]),
+		out[name] = quota.Slice{Rate: float64(s[0]), Burst: float64(s[1]), Floor: float64(s[2]), FloorBurst: float64(s[3]),
 			Tokens: float64(s[4]), Wants: float64(s[5]), Kick: float64(s[6])}
 	}
 	return out
--- a/policy/tenants.go
+++ b/policy/tenants.go
@@ -1,7 +1,7 @@
 package policy
 
 // The buckets of one gatekeeper for the tenants' quotas. What they fill at is allotted to
-// it under a lease (internal/cistern); the module never asks for anything itself.
+// it under a lease (internal/quota); the module never asks for anything itself.
 
 const (
 	tenantIdle   = 60 * second // an unused bucket without a slice is forgotten
