Gatekeepers are told of evacuations that were taken back without their hearing of them

Cause: state reaches registries and gatekeepers as wholes. Change: the zones touched since the number held, by the store's record of it, come with the news. Tests: TestZonesThatWereTakenBackAreNamed, TestAZoneThatIsTakenBackIsCold.

--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -64,6 +64,7 @@
 	a.Evac = b.evac
 	if b.evac > q.Evac {
 		a.HasEvac, a.Evacuated = true, b.evacs
+		a.TakenBack = b.takenBack(q.Evac)
 		some = true
 	}
 	some = b.shadowNews(now, came, roll, &q, &a) || some
@@ -81,6 +82,21 @@
 	return a, some || a.Stale
 }
 
+// takenBack is the zones whose evacuation was taken back since a change. Who has just started is told of none. The
+// lock is held.
+func (b *Bothy) takenBack(since uint64) (zones []string) {
+	if since == 0 {
+		return nil
+	}
+	for zone, last := range b.state.Touched {
+		if _, evacuated := b.state.Evacuated[zone]; !evacuated && last.Seq > since {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // settled tells whether the members are whole here. The lock is held.
 func (b *Bothy) settled(now float64) bool {
 	if len(b.core) > 0 {
--- a/internal/bothy/sessions_test.go
+++ b/internal/bothy/sessions_test.go
@@ -321,3 +321,18 @@
 	assert.Equal(t, count["silent"], 1)
 	assert.Equal(t, count["other"], 3)
 }
+
+// TestZonesThatWereTakenBackAreNamed: also to who never heard that they were evacuated, once, and not to who has just
+// started.
+func TestZonesThatWereTakenBackAreNamed(t *testing.T) {
+	s := open(t)
+	st := state(8, 12, "a1")
+	st.Touched = map[string]cairn.Stamp{"a1": {Seq: 8, View: 1}, "a2": {Seq: 7, View: 1}, "a3": {Seq: 4, View: 1}}
+	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 8}, State: st}, nil)
+	for have, want := range map[uint64][]string{0: nil, 3: {"a2", "a3"}, 5: {"a2"}, 7: nil} {
+		a := s.answer(waymark.Sign{Evac: have})
+		assert.Assert(t, a.HasEvac)
+		assert.DeepEqual(t, a.TakenBack, want)
+		assert.DeepEqual(t, a.Evacuated, []string{"a1"})
+	}
+}
--- a/internal/larder/larder.go
+++ b/internal/larder/larder.go
@@ -31,6 +31,7 @@
 
 	evac      uint64
 	evacuated []string
+	takenBack []string // zones whose evacuations were, not asked for yet
 
 	shadow uint64 // number of the order for copies
 	order  []byte
@@ -102,6 +103,9 @@
 		l.told, l.bulk = a.Edition, a.Bulk
 	}
 	if a.HasEvac {
+		if a.Evac > l.evac {
+			l.takenBack = append(l.takenBack, a.TakenBack...)
+		}
 		l.Evacuate(a.Evac, a.Evacuated)
 	}
 	l.Shadow(a.Shadow, a.Order)
@@ -204,6 +208,12 @@
 // Evacuated is the evacuated zones and their number.
 func (l *Larder) Evacuated() (uint64, []string) { return l.evac, l.evacuated }
 
+// TakenBack is the zones whose evacuations were taken back since it was last asked.
+func (l *Larder) TakenBack() (zones []string) {
+	zones, l.takenBack = l.takenBack, nil
+	return zones
+}
+
 // Turns is how often each destination's workers have changed.
 func (l *Larder) Turns() map[string]uint64 {
 	turns := make(map[string]uint64, len(l.shelves))
--- a/internal/switchback/placing_test.go
+++ b/internal/switchback/placing_test.go
@@ -574,4 +574,6 @@
 	assert.Assert(t, cold("i-1") > 0, "an old list ends it")
 	s.on(func() { s.takenBack["a1"] -= 3000 })
 	assert.Assert(t, cold("i-1") <= 0, "it is over")
+	s.hear(waymark.Signed{HasEvac: true, Evac: 9, TakenBack: []string{"a2"}}, nil)
+	assert.Assert(t, cold("i-2") > 0, "it was evacuated and taken back while nothing was heard")
 }
--- a/internal/switchback/relay.go
+++ b/internal/switchback/relay.go
@@ -235,7 +235,7 @@
 			p.enforce(r.table)
 		}
 		if evac, zones := r.larder.Evacuated(); evac > p.evac {
-			p.evacuate(evac, zones)
+			p.evacuate(evac, zones, r.larder.TakenBack())
 			replace = true
 		}
 		p.roster = r.larder.Heard()
@@ -250,8 +250,9 @@
 	return replace
 }
 
-// evacuate puts a list of evacuated zones in force, and notes which were taken back.
-func (p *Proxy) evacuate(number uint64, zones []string) {
+// evacuate puts a list of evacuated zones in force, and notes which were taken back: those that were evacuated here, and
+// those that were evacuated and taken back without our hearing of it in between.
+func (p *Proxy) evacuate(number uint64, zones, takenBack []string) {
 	before := p.evacuated
 	p.evac, p.evacuated = number, map[string]bool{}
 	for _, zone := range zones {
@@ -262,6 +263,9 @@
 			p.takenBack[zone] = p.clock.Now()
 		}
 	}
+	for _, zone := range takenBack {
+		p.takenBack[zone] = p.clock.Now()
+	}
 }
 
 // take puts a destination's workers in force, in the place of those it had.
--- a/internal/waymark/waymark.go
+++ b/internal/waymark/waymark.go
@@ -59,6 +59,9 @@
 	Evac      uint64   `cbor:"6,keyasint,omitempty"`
 	HasEvac   bool     `cbor:"7,keyasint,omitempty"`
 	Evacuated []string `cbor:"8,keyasint,omitempty"`
+	// TakenBack is the zones whose evacuation was taken back behind the number held, also where their being
+	// evacuated was never heard of.
+	TakenBack []string `cbor:"23,keyasint,omitempty"`
 
 	Marks *Marks `cbor:"9,keyasint,omitempty"`
 	Parts []Part `cbor:"13,keyasint,omitempty"` // for the destinations' homes and who wants them
