--- /dev/null
+++ b/internal/slowstart/scale_bench_test.go
@@ -0,0 +1,57 @@
+package slowstart
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkScaleAsk is one asking among so many gatekeepers that each ask twice a second, and what the coordinator holds
+// for each.
+func BenchmarkScaleAsk(b *testing.B) {
+	for _, n := range []int{100, 1000, 18_000} {
+		b.Run(fmt.Sprint("gates=", n), func(b *testing.B) {
+			ids := make([]string, n)
+			for i := range ids {
+				ids[i] = fmt.Sprintf("counter-zone-%05d/1234567890abcdef", i)
+			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			k := New(1300)
+			k.Begin(0, 1e9)
+			now, i := 0.0, 0
+			ask := func() {
+				k.Ask(now, ids[i])
+				if i++; i == n {
+					i = 0
+				}
+				now += 500 / float64(n)
+			}
+			for range 8 * n {
+				ask()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ResetTimer()
+			for range b.N {
+				ask()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/gate")
+			runtime.KeepAlive(k)
+		})
+	}
+}
+
+// BenchmarkScaleSends is what a gatekeeper asks for each cold worker that it looks at.
+func BenchmarkScaleSends(b *testing.B) {
+	for _, n := range []int{9, 18_000} {
+		b.Run(fmt.Sprint("gates=", n), func(b *testing.B) {
+			var l Lease
+			l.Take(Grant{Current: Part{n / 2, n}}, 0, 1e12)
+			for i := range b.N {
+				l.Sends(0, 15, uint64(i))
+			}
+		})
+	}
+}
