Gatekeepers out of touch with the core bound their sends to each worker

Change: 0.45 of a cold worker's budget goes to leases, 0.55 is divided among those without the tail's word for 1.2 s, who apply it to every worker.

--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -204,7 +204,10 @@
 
 func micros(ms float64) policy.Micros { return policy.Micros(ms * 1000) }
 
-func (g *simGatekeeper) coldSends(s policy.Server) int {
+func (g *simGatekeeper) coldSends(s policy.Server, cold bool) int {
+	if !cold {
+		return -1
+	}
 	if g.w.fault == divideByCrowd {
 		part := slowstart.Part{Index: g.crowd.Place, Count: g.crowd.Count}
 		return slowstart.Grant{Current: part}.Sends(simBudget, uint64(s))
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -122,6 +122,15 @@
 	since, until float64
 }
 
+// Standing is the part of a budget of those whose leases are over: what is given to leases and what is kept for them may
+// together be no more than what a cold worker bears. Who never had a part takes the one that is told here.
+func (l *Lease) Standing(budget float64, worker uint64, otherwise Part) int {
+	if l.grant.Current.Count > 0 {
+		return l.grant.Sends(budget, worker)
+	}
+	return otherwise.sends(budget, worker)
+}
+
 // Coordinator grants the parts. It isn't safe for use by several goroutines.
 type Coordinator struct {
 	lease       float64
--- a/internal/switchback/placing_test.go
+++ b/internal/switchback/placing_test.go
@@ -536,17 +536,48 @@
 	s.on(func() {
 		x := s.pools["a"]
 		x.dest.ColdPerS = 10
-		assert.Check(t, x.coldSends(7) == 0, "nobody has given it a part")
+		assert.Check(t, x.coldSends(7, true) == 0, "nobody has given it a part")
 		s.place, s.members = 0, 1
-		assert.Check(t, x.coldSends(7) == 0, "what it was told of the members gives it none")
+		assert.Check(t, x.coldSends(7, true) == 0, "what it was told of the members gives it none")
 		now, sum := s.clock.Now(), 0
 		for index := range 6 {
 			s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Index: index, Count: 6}}, now, 60_000)
-			sum += x.coldSends(7)
+			sum += x.coldSends(7, true)
 		}
 		assert.Check(t, sum > 0 && sum <= 20, "%d sends a second", sum)
 		s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Count: 1}}, now-60_000, 60_000)
-		assert.Check(t, x.coldSends(7) == 0, "its lease is over")
+		assert.Check(t, x.coldSends(7, true) == 0, "its lease is over")
+	})
+}
+
+// TestWhoIsOutOfTouchBoundsItsSends: all that are so stay, beside those with leases, under what a cold worker bears.
+func TestWhoIsOutOfTouchBoundsItsSends(t *testing.T) {
+	s := open(t, "coldExcess=1.5", "coldSlack=5")
+	s.hear(waymark.Signed{}, table(t, 1, []course{{prefix: "/", to: "a"}}))
+	s.on(func() {
+		x := s.pools["a"]
+		x.dest.ColdPerS = 10
+		now := s.clock.Now()
+		s.place, s.members = 0, 6
+		s.touched = now
+		assert.Check(t, x.coldSends(7, false) < 0, "it is in touch")
+		s.touched = now - outOfTouch - 60_000
+		sum := 0
+		for index := range 6 {
+			s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Index: index, Count: 6}}, now-60_000, 1000)
+			sum += x.coldSends(7, false)
+			assert.Check(t, x.coldSends(7, true) == 0)
+		}
+		leased := 0
+		for index := range 6 {
+			s.slowStart.Take(slowstart.Grant{Current: slowstart.Part{Index: index, Count: 6}}, now, 60_000)
+			leased += x.coldSends(7, true)
+		}
+		assert.Check(t, sum > 0 && leased > 0 && sum+leased <= 20, "%d and %d sends a second", sum, leased)
+		s.slowStart = slowstart.Lease{}
+		assert.Check(t, x.coldSends(7, false) > 0, "by what it was told of the members")
+		s.members = 1
+		assert.Check(t, x.coldSends(7, false) < 0, "there are no others")
 	})
 }
 
--- a/internal/switchback/pool.go
+++ b/internal/switchback/pool.go
@@ -7,6 +7,7 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
+	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/policy"
 )
@@ -31,14 +32,16 @@
 }
 
 const (
-	plans      = 8  // ranks of tenants
-	rankBits   = 16 // ranks of routes within one
-	connectMax = 600.0
-	idleMost   = 8000.0 // a link's rest, where the worker does not say
-	holdPart   = 0.22   // of the aim is a request held at most before it was ever sent
-	stepMicros = 20000
-	coldUsed   = 0.75 // of what a cold worker bears is used
-	safeAfter  = 8    // expected latencies of silence after which a safe request is sent elsewhere
+	plans        = 8  // ranks of tenants
+	rankBits     = 16 // ranks of routes within one
+	connectMax   = 600.0
+	idleMost     = 8000.0 // a link's rest, where the worker does not say
+	holdPart     = 0.22   // of the aim is a request held at most before it was ever sent
+	stepMicros   = 20000
+	leasedPart   = 0.45   // of what a cold worker bears goes to gatekeepers under leases,
+	standingPart = 0.55   // and this to those that are out of touch with the core
+	outOfTouch   = 1200.0 // milliseconds without the tail's word
+	safeAfter    = 8      // expected latencies of silence after which a safe request is sent elsewhere
 )
 
 // answerLimits bound no worker's answer that flows: an operator's limits are for what clients send.
@@ -107,12 +110,19 @@
 	return s
 }
 
-// coldSends is how many sends a second this gatekeeper may make to a cold worker, so that all
-// of them together stay under what it bears.
-func (s *pool) coldSends(w policy.Server) int {
-	b := s.p.set.Bounds
-	budget := coldUsed * (s.dest.ColdPerS*b.ColdExcess + b.ColdSlack)
-	return s.p.slowStart.Sends(s.p.clock.Now(), budget, uint64(w))
+// coldSends is how many sends a second this gatekeeper may make to a worker, so that all of them together stay under what
+// a cold one bears; below 0 for any number. Without a lease cold workers get nothing. Who has been out of touch with the
+// core for long would not hear that a worker has become cold: for all it knows each is.
+func (s *pool) coldSends(w policy.Server, cold bool) int {
+	p, b := s.p, s.p.set.Bounds
+	bears := s.dest.ColdPerS*b.ColdExcess + b.ColdSlack
+	switch now := p.clock.Now(); {
+	case cold:
+		return p.slowStart.Sends(now, leasedPart*bears, uint64(w))
+	case s.dest.ColdPerS <= 0 || p.members <= 1 || now-p.touched < outOfTouch:
+		return -1
+	}
+	return p.slowStart.Standing(standingPart*bears, uint64(w), slowstart.Part{Index: p.place, Count: p.members})
 }
 
 // coldUntil is when a worker is no longer cold: by the list, or by the evacuation of its zone that was taken back, as
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -76,6 +76,7 @@
 	evacuated map[string]bool
 	takenBack map[string]float64 // when a zone's evacuation was last taken back
 	slowStart slowstart.Lease    // our part of what cold workers bear
+	touched   float64            // as of when the tail's word was last heard
 	roster    uint64
 	workers   map[string]*worker
 	turns     map[string]uint64 // of the destinations' workers that are in force
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -204,6 +204,9 @@
 			p.stand()
 		}
 	}
+	if !a.Stale {
+		p.touched = max(p.touched, asked+a.AsOf)
+	}
 	if !a.Stale && (p.table != nil && p.table.Edition >= a.Edition) {
 		p.signed = true
 		p.keysTo = max(p.keysTo, asked+a.AsOf+p.set.Bounds.RevokeS*1000-leaseMargin)
--- a/policy/places.go
+++ b/policy/places.go
@@ -28,18 +28,29 @@
 	if q.homes != 0 && q.homes>>uint(s.e.Region)&1 == 0 {
 		return true
 	}
-	return s == q.avoid || g.shuns(q, s) || s.e.ColdUntil > g.now && !g.coldSendRoom(s)
+	return s == q.avoid || g.shuns(q, s) || !g.coldSendRoom(s)
 }
 
-// coldSendRoom tells whether a cold server may get another send of ours in the second that
-// ends now. It guards against servers that fall over: each gateway has its part of what
+// coldSendRoom tells whether a server that is cold, or may be, may get another send of ours in the
+// second that ends now. It guards against servers that fall over: each gateway has its part of what
 // such a one bears. An attempt that waits for a connection may leave in any second to come.
 func (g *Gateway) coldSendRoom(s *server) bool {
-	if g.set.ColdSends == nil {
-		return false
+	most, bound := g.sendsMost(s)
+	if !bound {
+		return true
 	}
 	g.forgetSends(s)
-	return len(s.coldSends)+s.unsent < g.set.ColdSends(s.id)
+	return len(s.coldSends)+s.unsent < most
+}
+
+// sendsMost is how many sends of ours a server may get in a second, if that is bound.
+func (g *Gateway) sendsMost(s *server) (most int, bound bool) {
+	cold := s.e.ColdUntil > g.now
+	if g.set.ColdSends == nil {
+		return 0, cold
+	}
+	most = g.set.ColdSends(s.id, cold)
+	return most, most >= 0
 }
 
 // noteSend keeps a send that may count against a cold server's budget. A server may become
@@ -66,12 +77,16 @@
 // since it was decided on, or our part of what the server bears may have shrunk.
 func (g *Gateway) MayLeave(now Micros, id uint32, attempt int) bool {
 	a := g.openAttemptOf(id, attempt)
-	if a == nil || g.set.ColdSends == nil || a.srv.e.ColdUntil <= now {
+	if a == nil {
 		return true
 	}
 	g.now = now
+	most, bound := g.sendsMost(a.srv)
+	if !bound {
+		return true
+	}
 	g.forgetSends(a.srv)
-	return len(a.srv.coldSends) < g.set.ColdSends(a.srv.id)
+	return len(a.srv.coldSends) < most
 }
 
 // openAttemptOf is an attempt that has not ended, nil if there is none.
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -54,12 +54,35 @@
 	return n
 }
 
+// coldOnly bounds the sends to cold servers alone.
+func coldOnly(most func() int) func(Server, bool) int {
+	return func(_ Server, cold bool) int {
+		if !cold {
+			return -1
+		}
+		return most()
+	}
+}
+
+// TestAServerThatMayBeColdIsBounded, though nobody says that it is.
+func TestAServerThatMayBeColdIsBounded(t *testing.T) {
+	s := settings()
+	s.Gateways = 1
+	s.ColdSends = func(Server, bool) int { return 2 }
+	g, r := start(s, 0)
+	g.Servers(100e6, r, FullList, []Entry{{Server: 1, State: Ready}})
+	for id := range uint32(5) {
+		g.Request(100e6, r, Request{ID: id, Customer: uint64(id), Left: 9e6, Units: 1})
+	}
+	assert.Equal(t, len(r.sent), 2)
+}
+
 // TestAColdServersSendsAreBoundedInAnySecond, also those of just before it became cold, and
 // whatever list comes in between.
 func TestAColdServersSendsAreBoundedInAnySecond(t *testing.T) {
 	const most = 3
 	s := settings()
-	s.ColdSends = func(Server) int { return most }
+	s.ColdSends = coldOnly(func() int { return most })
 	g, r := start(s, 0)
 	at := Micros(100e6)
 	cold := []Entry{{Server: 1, State: Ready, ColdUntil: 200e6}}
@@ -99,7 +122,7 @@
 	s := settings()
 	s.Gateways = 1
 	share := most
-	s.ColdSends = func(Server) int { return share }
+	s.ColdSends = coldOnly(func() int { return share })
 	g, r := start(s, 0)
 	g.Servers(100e6, r, FullList, []Entry{{Server: 1, State: Ready, ColdUntil: 200e6}})
 	room := func(at Micros) bool {
--- a/policy/types.go
+++ b/policy/types.go
@@ -99,9 +99,9 @@
 	// FurtherTry is asked once for each attempt of a request behind its first, and takes it
 	// from a budget where it says yes. The class is the one that the request came with.
 	FurtherTry func(class int) bool `json:"-"`
-	// ColdSends is how many sends of ours a server that is cold (Entry.ColdUntil) may get in
-	// any second.
-	ColdSends func(s Server) int `json:"-"`
+	// ColdSends is how many sends of ours a server may get in any second, below 0 for any number. It is told
+	// whether the server is known to be cold (Entry.ColdUntil).
+	ColdSends func(s Server, cold bool) int `json:"-"`
 }
 
 // BoundTerms are where the bound on attempts in flight moves, as parts of the aim that answers
