--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -64,6 +64,7 @@
 	*Bothy
 	addr string
 	cut  bool // off from the other core machines
+	half int  // of the core, while that is cut in two
 }
 
 type simSend struct {
@@ -327,7 +328,9 @@
 }
 
 // linked tells whether two registries reach each other.
-func (w *coldWorld) linked(x, y *simRegistry) bool { return x != y && !x.cut && !y.cut }
+func (w *coldWorld) linked(x, y *simRegistry) bool {
+	return x != y && !x.cut && !y.cut && x.half == y.half
+}
 
 func (w *coldWorld) find(addr string) *simRegistry {
 	i := slices.IndexFunc(w.registries, func(r *simRegistry) bool { return r.addr == addr })
@@ -351,15 +354,15 @@
 
 // control has the registries do what their loops do.
 func (w *coldWorld) control() {
-	running := 0
-	for _, r := range w.registries {
-		if !r.cut {
-			running++
-		}
-	}
 	for i, r := range w.registries {
 		phase := float64(i) * 37
-		if !r.cut && running > 2 {
+		heard := 1
+		for _, o := range w.registries {
+			if w.linked(r, o) {
+				heard++
+			}
+		}
+		if heard > 2 {
 			r.asked = w.now // the tail has answered
 			r.warden.Electorate(w.now, w.now, r.core, 1, 0)
 		}
@@ -495,6 +498,40 @@
 	return events
 }
 
+// halved draws a run in which the core is cut into halves four times, with cold returns and restarts within the cut and
+// right behind it. Gatekeepers reach both halves.
+func (w *coldWorld) halved() (events []simEvent) {
+	at := func(ms float64, do func()) { events = append(events, simEvent{w.now + ms, do}) }
+	for k := range 4 {
+		begin := 3000 + float64(k)*4500 + w.random.Float64()*500
+		length := 700 + w.random.Float64()*2800
+		order := w.random.Perm(len(w.registries))
+		size := 1 + w.random.IntN(2)
+		at(begin, func() {
+			for _, i := range order[:size] {
+				w.registries[i].half = 1
+			}
+		})
+		at(begin+length, func() {
+			for _, r := range w.registries {
+				r.half = 0
+			}
+		})
+		back := begin + w.random.Float64()*(length+600)
+		zone := fmt.Sprint("z", w.random.IntN(4))
+		for _, s := range slices.SortedFunc(maps.Values(w.workers), func(x, y *simWorker) int { return int(serverOf(x.id)) - int(serverOf(y.id)) }) {
+			if s.zone == zone {
+				at(back-400, func() { s.downUntil = w.now + 400 })
+				at(back, func() { w.start(s, simCold) })
+			}
+		}
+		g := w.gates[w.random.IntN(len(w.gates))]
+		at(begin+w.random.Float64()*length, func() { g.restart() })
+	}
+	slices.SortStableFunc(events, func(x, y simEvent) int { return int(x.at - y.at) })
+	return events
+}
+
 // play runs one seed, and tells what was broken.
 func (w *coldWorld) play(events []simEvent) []string {
 	for end := w.now + simLength; w.now < end; w.now += simStep {
@@ -524,6 +561,21 @@
 	assert.Assert(t, served > simSeeds*80, "%d requests", served)
 }
 
+// TestColdWorkersWhileTheCoreIsHalved: the sum of what gatekeepers send a cold worker holds also where they ask both
+// halves of a core that is cut in two.
+func TestColdWorkersWhileTheCoreIsHalved(t *testing.T) {
+	served := 0
+	for seed := range uint64(simSeeds) {
+		w := newColdWorld(t, seed, noColdFault)
+		broken := w.play(w.halved())
+		assert.Assert(t, len(broken) == 0, "seed %d: %v", seed, broken)
+		assert.Assert(t, w.most <= simBudget, "seed %d: %d in a second", seed, w.most)
+		served += w.served
+	}
+	assert.Assert(t, served > 0)
+	t.Logf("%d requests", served)
+}
+
 // TestTheFloodCheckBites: each fault is noticed in one of a few seeds.
 func TestTheFloodCheckBites(t *testing.T) {
 	for _, fault := range []coldFault{divideByCrowd, countDecisions} {
--- a/internal/cairn/machine.go
+++ b/internal/cairn/machine.go
@@ -21,6 +21,7 @@
 	turnover     bool // no fault: machines are replaced, and restarted in order
 	ghosts       bool // a newcomer takes nobody's seat, and none is given up
 	hasty        bool // a process that is asked to end does not wait for the others to hold what it held
+	halfDecides  bool // half of the core counts as a majority
 	grabs        bool // a newcomer may have the seat of a member that others hear, at once
 }
 
@@ -60,6 +61,7 @@
 	leaving  bool
 	extra    bool    // one of the machines of the very first start, that never had a seat
 	alone    float64 // since when no majority of the core has been heard; 0 if one is
+	regained float64 // when a majority was last heard again, after none had been
 
 	ballots
 	leases
@@ -71,7 +73,7 @@
 func New(c Config, stored []Record, now float64) *Machine {
 	c.defaults()
 	m := &Machine{c: c, self: Ident{Addr: c.Self.Addr}, now: now, start: now, viewSince: now,
-		peers: map[Ident]*peer{}, rng: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15))}
+		peers: map[Ident]*peer{}, rng: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)), regained: now - 1e9}
 	m.life = m.rng.Uint64() | 1
 	for _, r := range stored {
 		m.restore(r)
--- a/internal/cairn/rebuild.go
+++ b/internal/cairn/rebuild.go
@@ -8,9 +8,12 @@
 // rebuildStep is how far the view number goes up: more than the old core could count meanwhile.
 const rebuildStep = 1 << 20
 
-// counted notes since when no majority of the core has been heard.
+// counted notes since when no majority of the core has been heard, and when one was heard again.
 func (m *Machine) counted() {
 	if m.view.No == 0 || m.hearsMajority() {
+		if m.alone > 0 {
+			m.regained = m.now
+		}
 		m.alone = 0
 	} else if m.alone == 0 {
 		m.alone = m.now
--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -22,6 +22,10 @@
 	votedAt   float64 // when this machine last voted without hearing what came of it
 }
 
+// regainedBeats is how many beats a machine that hears a majority again waits for the others, before it would leave out
+// those that it does not hear yet.
+const regainedBeats = 1.5
+
 // hangs is the rank of one that wants no view, but an end of its own vote.
 const hangs = -2
 
@@ -44,7 +48,12 @@
 // votes says whether this machine is in the core, under the name of the disk it has now.
 func (m *Machine) votes() bool { return slices.Contains(m.view.Core, m.self) }
 
-func (m *Machine) majority(n int) bool { return 2*n > len(m.view.Core) }
+// majority says whether so many are more than half of the core.
+func (m *Machine) majority(n int) bool { return m.moreThanHalf(n, len(m.view.Core)) }
+
+func (m *Machine) moreThanHalf(n, of int) bool {
+	return 2*n > of || m.faults.halfDecides && 2*n == of
+}
 
 // hearsMajority says whether there is a path both ways with a majority of the core.
 func (m *Machine) hearsMajority() bool {
@@ -131,6 +140,9 @@
 }
 
 func (m *Machine) heard(from Ident, p *peer, b Beat) {
+	if m.silence(from) >= m.c.Suspect {
+		m.nextBeat = m.now // it is to learn at once that there is a path again
+	}
 	p.heard, p.beat = m.now, b
 	if b.View < m.view.No && m.now-p.news > 40 {
 		p.news = m.now
@@ -204,6 +216,9 @@
 	var old, rest, back []Ident
 	lost := false
 	for _, x := range m.view.Chain {
+		if !m.live(x) && m.now-m.regained < regainedBeats*m.c.Beat {
+			return View{}, false // it was cut off with this machine or from it, and may be heard in a moment
+		}
 		if !m.live(x) || letGo && m.leaves(x) {
 			lost = true
 			continue
@@ -231,7 +246,7 @@
 	if !lost && len(back) == 0 && v.Epoch == m.view.Epoch && slices.Equal(v.Core, m.view.Core) {
 		return View{}, false
 	}
-	if 2*len(v.Chain) <= len(v.Core) || !slices.Contains(old, v.Chain[0]) {
+	if !m.moreThanHalf(len(v.Chain), len(v.Core)) || !slices.Contains(old, v.Chain[0]) {
 		return View{}, false
 	}
 	return v, true
--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -57,7 +57,7 @@
 	{corner: "disk lost", name: "an electorate is tried again at every step", file: "internal/bothy/keep.go",
 		old: "b.now() + keepAgain", wrong: "b.now() + 0*keepAgain", tests: "TestAFullDiskEndsNoBothy"},
 	{corner: "disk lost", name: "ballots wait for the disk", file: "internal/bothy/sessions.go",
-		old: "		go b.keepNow(settled)", wrong: "		b.keepNow(settled)", tests: "TestAFullDiskEndsNoBothy"},
+		old: "		go b.keepNow(settled, epoch)", wrong: "		b.keepNow(settled, epoch)", tests: "TestAFullDiskEndsNoBothy"},
 
 	// Large bodies, and who has them.
 	{corner: "fills", name: "a fill of an older view is taken", file: cairns + "chain.go",
@@ -88,9 +88,11 @@
 	{corner: "leases", name: "the tail answers without leases", file: cairns + "chain.go",
 		old: "m.leasedUntil() <= m.now && !m.faults.ignoreLeases", wrong: "false", tests: "TestSimulatedTroubles|TestALeaseCountsFromTheAsking"},
 	{corner: "view majority", name: "half of the core is a majority", file: cairns + "view.go",
-		old: "return 2*n > len(m.view.Core) }", wrong: "return 2*n >= len(m.view.Core) }", tests: "TestTwoOfFourDecideNothing"},
+		old: "return 2*n > of || m.faults.halfDecides && 2*n == of", wrong: "return 2*n >= of", tests: "TestTwoOfFourDecideNothing|TestHalvesWithLosses"},
 	{corner: "view majority", name: "a chain of half of the core is formed", file: cairns + "view.go",
-		old: "	if 2*len(next) <= len(core) ||", wrong: "	if 2*len(next) < len(core) ||", tests: "TestHalfAChainIsNone"},
+		old: "	if !m.moreThanHalf(len(v.Chain), len(v.Core)) ||", wrong: "	if 2*len(v.Chain) < len(v.Core) ||", tests: "TestHalfAChainIsNone"},
+	{corner: "view majority", name: "who is not heard yet as halves meet is left out", file: cairns + "view.go",
+		old: "!m.live(x) && m.now-m.regained < regainedBeats*m.c.Beat {", wrong: "false {", tests: "TestServiceReturnsWhenHalvesMeet"},
 	{corner: "view majority", name: "promises are not written down", file: cairns + "view.go",
 		old: "			m.sync(Record{Promise: &Promised{For: a.For, Ballot: p.Ballot}})\n", wrong: "", tests: "TestPromisesOutlastAStart"},
 	{corner: "view majority", name: "votes are not written down", file: cairns + "view.go",
--- a/internal/warden/sim_test.go
+++ b/internal/warden/sim_test.go
@@ -518,3 +518,33 @@
 		assert.Assert(t, len(w.holder) == len(works) && w.holder["slices"] != holder.id)
 	}
 }
+
+// TestADutyWhileTheElectorateIsHalved: of equal halves neither has a holder, of unequal ones only the larger; where some are
+// restarted meanwhile too. The duties are held again within a second of the halves' meeting.
+func TestADutyWhileTheElectorateIsHalved(t *testing.T) {
+	for _, n := range []int{3, 4, 5, 6} {
+		for seed := range uint64(30) {
+			w := newWorld(t, seed, n, 0)
+			w.grows = true
+			w.within(2500)
+			w.run(1000 * w.chance.Float64())
+			size := n / 2
+			for _, x := range w.nodes[:size] {
+				for _, y := range w.nodes[size:] {
+					w.split[pair(x.id, y.id)] = true
+				}
+			}
+			if seed%3 == 0 {
+				w.rising = false
+				w.start(w.nodes[w.chance.IntN(n)], false)
+			}
+			w.run(3500)
+			for name, id := range w.holder {
+				assert.Assert(t, 2*size < n && slices.IndexFunc(w.nodes, func(x *node) bool { return x.id == id }) >= size,
+					"%s is held by %s of %d halved", name, id, n)
+			}
+			clear(w.split)
+			w.within(1000)
+		}
+	}
+}
