--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -459,6 +459,9 @@
 	return ready > 0
 }
 
+// Load is what the decision module has to do now.
+func (g *Gatekeeper) Load() policy.Load { return g.decide.Load() }
+
 // Size is how many workers are listed, and how many of them take work.
 func (g *Gatekeeper) Size() (ready, listed int) {
 	for _, r := range g.known {
--- a/gatekeeper/recorder.go
+++ b/gatekeeper/recorder.go
@@ -62,6 +62,7 @@
 	// Recorders are not told of these: they matter to the whole system only.
 	Left(now policy.Micros, id uint32, attempt int)
 	MayLeave(now policy.Micros, id uint32, attempt int) bool
+	Load() policy.Load
 	Sightings(now policy.Micros) []policy.Sighting
 	Believe(now policy.Micros, do policy.Host, of map[policy.Server]policy.Belief)
 }
--- /dev/null
+++ b/internal/bothy/metrics.go
@@ -0,0 +1,43 @@
+package bothy
+
+import (
+	"context"
+
+	"foxwood/internal/metrics"
+)
+
+// Figures implements metrics.Source.
+func (b *Bothy) Figures(context.Context) []metrics.Figure {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	figures := []metrics.Figure{
+		metrics.Gauge("view", "Number of the core's view as known here.", float64(b.view.No)),
+		metrics.Gauge("core_members", "Machines of the core in that view.", float64(len(b.view.Core))),
+		metrics.Gauge("configuration_version", "Version of the newest configuration known to be committed.", float64(b.state.Edition)),
+		metrics.Gauge("zones_evacuated", "Zones that are evacuated.", float64(len(b.state.Evacuated))),
+		metrics.Gauge("control_heard_seconds", "Time since the tail was last asked with success.", (now-b.asked)/1000),
+		metrics.Gauge("members", "Gatekeepers whose sessions stand, here or elsewhere.", float64(len(b.book.Members(now).Members))),
+		metrics.Gauge("workers_listed", "Workers on the platform's list as known here.", float64(len(b.roster.listed))),
+		metrics.Gauge("roster_version", "Version of that list.", float64(b.roster.version)),
+		metrics.Count("sign_calls_total", "Calls of sessions answered.", b.counts.Signs),
+		metrics.Count("resolve_calls_total", "Answers of the directory.", b.counts.Resolves),
+		metrics.Count("quota_draws_total", "Calls for quota slices answered.", b.counts.Draws),
+		metrics.Count("platform_calls_total", "Readings of the platform's list.", b.counts.Polls),
+		metrics.Count("platform_calls_failed_total", "Readings of the platform's list that failed.", b.counts.PollsFailed),
+		metrics.Count("probes_total", "Health probes of workers.", b.counts.Probes),
+		metrics.Count("confirms_total", "Questions to the tail.", b.counts.Confirms),
+		metrics.Count("confirms_failed_total", "Questions to the tail that failed.", b.counts.ConfirmsFailed),
+		metrics.Count("configurations_taken_total", "Configurations acknowledged here.", b.counts.Puts),
+	}
+	for reason, n := range map[string]uint64{"conflict": b.counts.Conflicts, "invalid": b.counts.Refused, "unavailable": b.counts.Failed} {
+		figures = append(figures, metrics.Count("refusals_total", "Outside calls refused, by reason.", n, metrics.Label{Name: "reason", Value: reason}))
+	}
+	for _, duty := range b.warden.Duties() {
+		term, held := b.warden.Holds(now, duty)
+		label := metrics.Label{Name: "duty", Value: duty}
+		figures = append(figures, metrics.Flag("duty_held", "Whether this process holds the duty.", held, label),
+			metrics.Gauge("duty_term", "Term in which it holds the duty; 0 for none.", float64(term), label))
+	}
+	return figures
+}
--- a/internal/signpost/signpost.go
+++ b/internal/signpost/signpost.go
@@ -2,6 +2,7 @@
 package signpost
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/metrics"
 	"foxwood/internal/spur"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
@@ -69,12 +71,14 @@
 }
 
 type serve struct {
-	p Program
+	p       Program
+	metrics string
 }
 
 func (*serve) Name() string       { return "serve" }
 func (c *serve) Synopsis() string { return c.p.Summary }
 func (c *serve) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.metrics, "metrics", "", "PORT/PATH at which to serve the process's figures; the settings' own goes before it")
 	if c.p.Flags != nil {
 		c.p.Flags(f)
 	}
@@ -113,6 +117,9 @@
 		log.Info().Stringer("signal", s).Msg("ending")
 		cancel()
 	}()
+	if err := c.serveMetrics(ctx, set, r); err != nil { // traffic goes before figures
+		log.Error().Err(err).Msg("figures are not served")
+	}
 	go watch(ctx, again, r, log)
 	if err := r.Serve(ctx); err != nil {
 		log.Error().Err(err).Msg("ended with a fault")
@@ -122,6 +129,20 @@
 	return subcommands.ExitSuccess
 }
 
+// serveMetrics serves a runner's figures where the settings or the command line name a place for them.
+func (c *serve) serveMetrics(ctx context.Context, set *trailhead.Settings, r Runner) error {
+	where := cmp.Or(set.Metrics, c.metrics)
+	source, ok := r.(metrics.Source)
+	if where == "" || !ok {
+		return nil
+	}
+	at, err := metrics.ParseEndpoint(where)
+	if err != nil {
+		return err
+	}
+	return metrics.Serve(ctx, set.IP, at, source)
+}
+
 // watch reads the settings again when told, or when the file has changed. One with a fault
 // changes nothing.
 func watch(ctx context.Context, again <-chan os.Signal, r Runner, log zerolog.Logger) {
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -35,6 +35,9 @@
 	Changing bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Left is how long the lease still holds, in milliseconds; below 0 it is over.
+func (l *Lease) Left(now float64) float64 { return l.until - now }
+
 // Sends is the requests a second that the holder of a grant may send to a cold worker that bears budget requests
 // from all gatekeepers together.
 func (g Grant) Sends(budget float64, worker uint64) int {
--- /dev/null
+++ b/internal/store/metrics.go
@@ -0,0 +1,61 @@
+package store
+
+import (
+	"context"
+
+	"foxwood/internal/cairn"
+	"foxwood/internal/metrics"
+)
+
+// Figures implements metrics.Source.
+func (s *Store) Figures(ctx context.Context) []metrics.Figure {
+	figures := make(chan []metrics.Figure, 1)
+	select {
+	case s.events <- event{look: func() { figures <- s.measured() }}:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case f := <-figures:
+		return f
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// measured is the figures, on the loop.
+func (s *Store) measured() []metrics.Figure {
+	figures := []metrics.Figure{
+		metrics.Flag("disk_down", "Whether the disk is lost or hangs.", s.down()),
+		metrics.Gauge("disk_bytes", "Size of what is on the disk.", float64(s.size)),
+		metrics.Gauge("view", "Number of the core's view.", float64(s.known.view.No)),
+		metrics.Gauge("chain_members", "Machines of the chain in that view.", float64(len(s.known.view.Chain))),
+		metrics.Gauge("core_members", "Machines of the core in that view.", float64(len(s.known.view.Core))),
+		metrics.Count("syncs_total", "Syncs of the disk.", s.counts.Syncs),
+		metrics.Count("records_total", "Records written.", s.counts.Records),
+		metrics.Count("disk_stalls_total", "Times that the disk hung.", s.counts.Stalls),
+		metrics.Count("disk_losses_total", "Times that the disk took nothing.", s.counts.Lost),
+		metrics.Count("submits_total", "Changes asked for here.", s.counts.Submits),
+		metrics.Count("submits_unavailable_total", "Changes that were not taken.", s.counts.Unavailable),
+		metrics.Count("submits_unknown_total", "Changes of which it is not known whether they were taken.", s.counts.Unknown),
+		metrics.Count("messages_unsent_total", "Messages to other core machines that were not sent.", s.counts.Unsent),
+	}
+	if s.known.state != nil {
+		figures = append(figures, metrics.Gauge("configuration_version", "Version of the newest configuration known to be committed.", float64(s.known.state.Edition)),
+			metrics.Gauge("committed_number", "Number of the last change known to be committed.", float64(s.known.state.Last.Seq)))
+	}
+	if s.machine == nil {
+		return figures
+	}
+	return append(figures, machineFigures(s.machine.Status())...)
+}
+
+func machineFigures(st cairn.Status) []metrics.Figure {
+	return []metrics.Figure{
+		metrics.Flag("whole", "Whether this machine holds all that was acknowledged.", st.Whole),
+		metrics.Flag("chain_role", "The machine's part in the chain.", true, metrics.Label{Name: "role", Value: st.Role}),
+		metrics.Gauge("uncommitted_entries", "Entries held that are not known to be committed.", float64(st.Lag)),
+		metrics.Gauge("tail_lease_seconds", "What is left of the tail's leases; 0 at others.", st.Leased/1000),
+		metrics.Gauge("majority_lost_seconds", "Time since a majority of the core was last heard; 0 while one is.", st.Lost/1000),
+	}
+}
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -36,6 +36,7 @@
 	Clauses       []string          `toml:"clauses"`
 	TimeBounds    []string          `toml:"timeBounds"`
 	EditionMode   string            `toml:"editionMode"`
+	Metrics       string            `toml:"metrics"` // PORT/PATH where the process is to tell its figures; empty for nowhere
 	Zones         map[string]string `toml:"zones"`
 	Gates         Gates             `toml:"gates"`
 	SizeLimits    SizeLimits        `toml:"sizeLimits"`
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -284,6 +284,9 @@
 	return d.term, true
 }
 
+// Duties names the duties that this bothy stands for.
+func (m *Machine) Duties() []string { return m.names }
+
 // Holder is who last said that it has the duty; "" if nobody has within a lease.
 func (m *Machine) Holder(now float64, name string) string {
 	d := m.duties[name]
--- a/policy/places.go
+++ b/policy/places.go
@@ -107,6 +107,9 @@
 	a.srv.unsent--
 	g.forgetSends(a.srv)
 	a.srv.coldSends = append(a.srv.coldSends, g.now)
+	if a.srv.e.ColdUntil > g.now {
+		g.toCold++
+	}
 }
 
 // forgetSends drops the sends that no window holds any more.
--- a/policy/state.go
+++ b/policy/state.go
@@ -170,6 +170,7 @@
 	lastRate Micros
 	sends    int
 	dones    int
+	toCold   uint64 // sends that have left for servers that were cold
 
 	draws     map[uint64][]drawn
 	calls     float64 // part of the draws that are made
