--- a/internal/forecast/cold.go
+++ b/internal/forecast/cold.go
@@ -50,13 +50,7 @@
 			w.place("cold_return", table{"at": begin, "for_s": away, "zone": zone, "how": how})
 		}
 		w.place("burst", table{"at": back - burstEarlyS, "x": returnBurstX, "for_s": burstS})
-		for range w.rnd.IntN(3) {
-			trouble := table{"at": back + w.between(-1, 1), "for_s": w.between(0.5, 5)}
-			for key, value := range aroundReturn[w.rnd.IntN(len(aroundReturn))] {
-				trouble[key] = value
-			}
-			w.place(trouble["kind"].(string), trouble)
-		}
+		w.someOf(aroundReturn, w.rnd.IntN(3), 5, func() float64 { return back + w.between(-1, 1) })
 	}
 }
 
--- a/internal/forecast/draw.go
+++ b/internal/forecast/draw.go
@@ -20,7 +20,7 @@
 )
 
 // profiles are what days may be drawn for.
-var profiles = []string{"all", "core", "changes", "answers", "cold"}
+var profiles = []string{"all", "core", "changes", "answers", "cold", "halves"}
 
 // sky draws one day.
 type sky struct {
@@ -46,6 +46,8 @@
 		w.changes(seed)
 	case "cold":
 		w.coldStarts()
+	case "halves":
+		w.halves()
 	case "answers":
 		w.themes(seed, 5+w.rnd.IntN(5), 14+w.rnd.IntN(16), func(one kind) bool {
 			return one.group == servers || one.group == traffic || strikesLinks.MatchString(one.name)
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -251,3 +251,19 @@
 	}
 	assert.Equal(t, Main([]string{"draw", "-site", file, "-kinds", "testdata/kinds.txt", "-out", t.TempDir()}), 3)
 }
+
+// TestHalves: a day of halves has the core cut in two several times, and orders and losses around the cuts.
+func TestHalves(t *testing.T) {
+	s, k := given(t)
+	cuts, rest := 0, 0
+	for seed := range uint64(10) {
+		for _, e := range draw(s, k, "halves", seed, 60).entries {
+			if how, _ := e.table["how"].(string); strings.HasPrefix(how, "split") {
+				cuts++
+			} else {
+				rest++
+			}
+		}
+	}
+	assert.Assert(t, cuts >= 40 && rest >= 60, "%d cuts, %d others", cuts, rest)
+}
