Registries keep on disk which gatekeepers' lives have just begun

Cause: a gatekeeper that started twice within the quota window and its two seconds, with all registries restarted in between, took its first tokens twice: registries remembered lives in memory only, and an allotter knew only what it had given itself. Ruled out: a part for two lives (half of the first tokens, which recovery lives on); a wait of a window after each start (the same after each loss of all). Change: each registry keeps the stations whose life began within the window, from sessions and gossip alike, synced before a session is told that first tokens are free; after a restart those count as begun just before. An allotter gives none where it knows of an earlier life in the window. Tests fail on the code before; three rows of faults.

--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -91,6 +91,7 @@
 	kept      []string // the electorate on the disk
 	keptEpoch uint64
 	keeping   keeping
+	lives     recentLives
 	evac      uint64
 	evacs     []string
 	roll      uint64
@@ -146,6 +147,8 @@
 	b.slowStart = slowstart.New(sliceLease)
 	b.patience = callMost
 	b.keeping.write = keep
+	b.lives = recentLives{write: writeLives, kept: readLives(set.ArchiveDir)}
+	b.book.Recall(b.now(), b.lives.kept)
 	b.setSeeds(set)
 	return b
 }
--- a/internal/bothy/keep.go
+++ b/internal/bothy/keep.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -80,28 +81,7 @@
 	return lines[1 : n-1], epoch, false
 }
 
-// keep puts the electorate on the disk, whole or not at all, so that it outlasts a loss of power.
+// keep puts the electorate on the disk, so that it outlasts a loss of power.
 func keep(dir string, ids []string, epoch uint64) error {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	path := filepath.Join(dir, keepName)
-	f, err := os.Create(path + ".new")
-	if err != nil {
-		return err
-	}
-	lines := append(append([]string{keepHead + strconv.FormatUint(epoch, 10)}, ids...), keepEnd, "")
-	_, err = f.WriteString(strings.Join(lines, "\n"))
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		_ = os.Remove(path + ".new") // what it takes of a full disk others need
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	return writeWhole(dir, keepName, slices.Concat([]string{keepHead + strconv.FormatUint(epoch, 10)}, ids, []string{keepEnd}))
 }
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -31,7 +31,11 @@
 	b.warden.Learn(dutyRoster, q.Roster>>termShift)
 	b.strikes.newest = max(b.strikes.newest, q.Roster)
 	b.rolled()
+	kept := q.Leaving || b.lifeKept(q.Member.Station)
 	b.mu.Unlock()
+	if !kept {
+		b.awaitLife(ctx, q.Member.Station)
+	}
 	wait := time.NewTimer(time.Duration(min(max(q.Wait, 0), waitMost) * float64(time.Millisecond)))
 	defer wait.Stop()
 	for {
@@ -58,7 +62,7 @@
 	a.AsOf = b.asked - came
 	a.Stale = b.asked == 0 || now-b.asked > staleAfter || b.waits()
 	a.Settled = b.settled(now)
-	a.Again = b.book.Again(now, q.Member.Station, b.set.Bounds.QuotaWindowS*1e3+quota.KickKeepMs)
+	a.Again = b.book.Again(now, q.Member.Station, b.firstTokensWindow()) || !b.lifeKept(q.Member.Station)
 	roll := b.book.Members(now)
 	some = b.relay(now, roll, &q, &a)
 	a.Evac = b.evac
@@ -198,6 +202,12 @@
 	if got == nil {
 		return waymark.Drawn{}, traverse.Errorf(traverse.Stale, "an asking that was overtaken")
 	}
+	if b.book.Again(now, q.Station, b.firstTokensWindow()) { // an allotter before this one may have given them
+		for name, s := range got {
+			s.Kick = 0
+			got[name] = s
+		}
+	}
 	return waymark.Drawn{Slices: waymark.Pack(got), Lease: sliceLease, SlowStart: b.slowStart.Ask(now, id)}, nil
 }
 
@@ -221,6 +231,7 @@
 	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Tick})
 	b.duties(out)
 	b.strikes.watch(b.now(), b.warden.Holder(b.now(), dutyRoster))
+	b.watchLives()
 	settled, epoch := b.warden.Settled(b.now())
 	again := b.set.ArchiveDir != "" && settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept)) && b.keeping.begin(b.now())
 	b.mu.Unlock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -144,6 +144,8 @@
 	tellers map[string]*teller
 	roll    Roll
 	rollTo  float64 // until when it holds if nothing changes, 0 for not at all
+	// recalled is when this process learned of a life of a station that an earlier process had noted.
+	recalled map[string]float64
 }
 
 // New opens an empty book. The life is drawn at random by the caller for each process: without
@@ -275,7 +277,7 @@
 		b.rollTo = 0
 	}
 	if e == nil {
-		b.entries[g.Station] = &entry{guest: g, at: at, gone: gone, dead: map[uint64]float64{}, came: now, last: math.Inf(-1)}
+		b.entries[g.Station] = &entry{guest: g, at: at, gone: gone, dead: map[uint64]float64{}, came: now, last: b.lastOf(g.Station)}
 		return true
 	}
 	if e.guest.Life == g.Life {
@@ -312,6 +314,47 @@
 	return e != nil && now-e.last < within
 }
 
+// Recall brings the stations of which an earlier process of this registry noted that a life had begun of late. It may
+// have begun right before this process did.
+func (b *Book) Recall(now float64, stations []string) {
+	b.recalled = make(map[string]float64, len(stations))
+	for _, s := range stations {
+		b.recalled[s] = now
+	}
+}
+
+// lastOf is when a life of a station that is new here was heard of before, by an earlier process; -Inf for never.
+func (b *Book) lastOf(station string) float64 {
+	at, ok := b.recalled[station]
+	if !ok {
+		return math.Inf(-1)
+	}
+	delete(b.recalled, station)
+	return at
+}
+
+// Began tells whether a station's life was first heard of less than so long ago.
+func (b *Book) Began(now float64, station string, within float64) bool {
+	e := b.entries[station]
+	return e != nil && now-e.came < within
+}
+
+// Recent is the stations of which a life was first heard of less than so long ago, here or by an earlier process, in order.
+func (b *Book) Recent(now, within float64) (stations []string) {
+	for name, e := range b.entries {
+		if now-max(e.came, e.last) < within {
+			stations = append(stations, name)
+		}
+	}
+	for name, at := range b.recalled {
+		if now-at < within {
+			stations = append(stations, name)
+		}
+	}
+	slices.Sort(stations)
+	return stations
+}
+
 // Members is the roll of now. Members must not be changed by the caller; their Turn and Load may be
 // those of a second ago. It is asked for at every sign, so it is made anew only where a member has
 // come, gone or changed, or may have lapsed.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -477,3 +477,15 @@
 		assert.Equal(t, len(hearer.Members(now+slow+1000).Members), 1, "at %v", now)
 	}
 }
+
+// TestRecall: what an earlier process noted counts from this one's start, until the window is over.
+func TestRecall(t *testing.T) {
+	b := New("x:1", 1, 0, 0)
+	b.Recall(0, []string{"a", "b"})
+	b.Sign(100, Member{Station: "a", Life: 7, Turn: 1})
+	assert.Assert(t, b.Again(6999, "a", 7000) && !b.Again(7000, "a", 7000))
+	assert.Assert(t, b.Began(200, "a", 7000) && !b.Began(200, "c", 7000))
+	assert.DeepEqual(t, b.Recent(200, 7000), []string{"a", "b"})
+	assert.DeepEqual(t, b.Recent(7050, 7000), []string{"a"})
+	assert.Equal(t, len(b.Recent(7100, 7000)), 0)
+}
--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -295,6 +295,12 @@
 		old: " - float64(g.ringed.Rank)/float64(g.ringed.Of)\n", wrong: "\n", tests: "TestARingCoversServersEvenly"},
 
 	// What a number stands for, and what is said without a majority.
+	{corner: "first tokens", name: "lives are not kept over a registry's restart", file: "internal/bothy/bothy.go",
+		old: "	b.book.Recall(b.now(), b.lives.kept)\n", wrong: "", tests: "TestFirstTokensOnceOverRestartsOfAll"},
+	{corner: "first tokens", name: "first tokens are allowed before the life is kept", file: "internal/bothy/sessions.go",
+		old: " || !b.lifeKept(q.Member.Station)", wrong: "", tests: "TestADiskThatTakesNoLives"},
+	{corner: "first tokens", name: "lives that others told of are not kept", file: "internal/bothy/sessions.go",
+		old: "	b.watchLives()\n", wrong: "", tests: "TestLivesThatOthersToldOf"},
 	{corner: "order identity", name: "another body under a committed number is taken", file: cairns + "identity.go",
 		old: "	case ok || low:\n", wrong: "	case low:\n", tests: "TestTwoOperatorsOneNumber"},
 	{corner: "order identity", name: "an order that comes again is refused", file: cairns + "identity.go",
