--- a/internal/bothy/lives_test.go
+++ b/internal/bothy/lives_test.go
@@ -30,9 +30,9 @@
 }
 
 // passes has the loop that keeps lives do its work, until nothing is being written.
-func passes(b *Bothy) {
+func passes(t *testing.T, b *Bothy) {
+	b.ward(t.Context())
 	b.mu.Lock()
-	b.watchLives()
 	over := b.lives.over
 	b.mu.Unlock()
 	if over != nil {
@@ -51,7 +51,7 @@
 	assert.Assert(t, signs(t, b, "counter-1", 2), "the life before may have taken them")
 	assert.Assert(t, !signs(t, b, "counter-2", 3), "another station")
 	now += b.firstTokensWindow() + 1
-	passes(b)
+	passes(t, b)
 	assert.Equal(t, len(readLives(dir)), 0, "nothing that is that old counts")
 	b = onDisk(dir, &now)
 	assert.Assert(t, !signs(t, b, "counter-1", 4))
@@ -65,7 +65,7 @@
 	other.Sign(now, membership.Member{Station: "counter-1", Life: 1, Turn: 1})
 	b.hear("127.0.0.2:7001", "z", other.Tell(now))
 	now += livesEvery
-	passes(b)
+	passes(t, b)
 	assert.DeepEqual(t, readLives(dir), []string{"counter-1"})
 	b = onDisk(dir, &now)
 	assert.Assert(t, signs(t, b, "counter-1", 2))
@@ -79,11 +79,11 @@
 	b.lives.write = func(string, []string) error { return <-hangs }
 	assert.Assert(t, signs(t, b, "counter-1", 1))
 	hangs <- unix.ENOSPC
-	passes(b)
+	passes(t, b)
 	assert.Assert(t, signs(t, b, "counter-1", 1), "no write before the pause is over")
 	b.lives.write = writeLives
 	now += livesAgain
-	passes(b)
+	passes(t, b)
 	assert.Assert(t, !signs(t, b, "counter-1", 1))
 }
 
