--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -295,6 +295,16 @@
 		old: " - float64(g.ringed.Rank)/float64(g.ringed.Of)\n", wrong: "\n", tests: "TestARingCoversServersEvenly"},
 
 	// What a number stands for, and what is said without a majority.
+	{corner: "clients that leave", name: "a client that has left is still served", file: "internal/link/client.go", in: "internal/switchback",
+		old: "		l.core.Gone(r)\n		l.ended(r, Ending{Left: true})", wrong: "		l.ended(r, Ending{Left: true})", tests: "TestAClientThatLeavesEndsItsWork|TestAClientThatLeavesTheQueue"},
+	{corner: "clients that leave", name: "a worker is not told that its client has left", file: "internal/link/serial.go", in: "internal/switchback",
+		old: "		sent = l.whole()\n		l.detach()\n		l.shut()\n", wrong: "		sent = l.whole()\n		l.detach()\n", tests: "TestAClientThatLeavesEndsItsWork"},
+	{corner: "early answers", name: "a link is used again with a body unfinished", file: "internal/link/serial.go", in: "internal/switchback",
+		old: "	more = more || l.cut || !l.whole()\n", wrong: "	more = more || l.cut\n", tests: "TestALinkWithAnUnfinishedBodyIsNotUsedAgain"},
+	{corner: "early answers", name: "a link is used again behind a long answer to an unfinished body", file: "internal/link/large.go", in: "internal/switchback",
+		old: "	if l.up != nil && !whole { // the", wrong: "	if false && !whole { // the", tests: "TestALinkWithAnUnfinishedBodyIsNotUsedAgain"},
+	{corner: "time left", name: "a route's deadline does not bound its client's", file: "internal/switchback/front.go",
+		old: "		left = min(left, v)\n", wrong: "		left = v\n", tests: "TestARouteEndsWhatLastsLonger"},
 	{corner: "first tokens", name: "lives are not kept over a registry's restart", file: "internal/bothy/bothy.go",
 		old: "	b.book.Recall(b.now(), b.lives.kept)\n", wrong: "", tests: "TestFirstTokensOnceOverRestartsOfAll"},
 	{corner: "first tokens", name: "first tokens are allowed before the life is kept", file: "internal/bothy/sessions.go",
