--- a/internal/switchback/answers_test.go
+++ b/internal/switchback/answers_test.go
@@ -321,3 +321,20 @@
 		assert.Equal(t, res.StatusCode, 502, name)
 	}
 }
+
+// TestAnAnswerWithoutALength ends with its connection: it is whole where that comes to its end, and never where it is
+// reset, whether it was held or has begun to flow.
+func TestAnAnswerWithoutALength(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{8, 2 << 20} {
+		for name, end := range map[string]hand{"ended": drop, "reset": reset} {
+			s := open(t)
+			unframed := func(n int, r *seen) bool {
+				text := "HTTP/1.1 200 OK\r\nConnection: close\r\n" + stamp + tryID + r.id + "\r\n\r\n" + large(size)
+				return raw(text)(n, r) && end(n, r)
+			}
+			s.hear(roll(1, employ(t, "w-1", "a", unframed, nil)), table(t, 1, []course{{prefix: "/", to: "a", unsafe: true}}))
+			assert.Equal(t, s.dial().send(request("GET", "/", "", "")).whole(), name == "ended", "%s behind %d bytes", name, size)
+		}
+	}
+}
--- a/internal/switchback/front_test.go
+++ b/internal/switchback/front_test.go
@@ -196,3 +196,11 @@
 	assert.Equal(t, res.StatusCode, http.StatusRequestTimeout)
 	assert.Equal(t, len(got), 0)
 }
+
+// TestWithoutAConfiguration: who knows no configuration yet can't tell what it allows. It says when to come back, not 404.
+func TestWithoutAConfiguration(t *testing.T) {
+	t.Parallel()
+	res, _ := open(t).ask("GET", "/", "", "")
+	assert.Equal(t, res.StatusCode, 503)
+	comesBack(t, res)
+}
