A first machine that loses its disk before its seat still gets one

Cause: who had said at the very first start that it waits for a seat of its own was a plain newcomer once its disk was gone, and no seat was ever added for it: one loss fewer was borne. Members now remember the addresses that said so until they have had a seat. The test fails without it (a core of four where five machines are there).

--- a/internal/cairn/machine.go
+++ b/internal/cairn/machine.go
@@ -59,9 +59,10 @@
 	peers    map[Ident]*peer
 	nextBeat float64
 	leaving  bool
-	extra    bool    // one of the machines of the very first start, that never had a seat
-	alone    float64 // since when no majority of the core has been heard; 0 if one is
-	regained float64 // when a majority was last heard again, after none had been
+	extra    bool            // one of the machines of the very first start, that never had a seat
+	awaited  map[string]bool // addresses of others that were there at the very first start, until they have had a seat
+	alone    float64         // since when no majority of the core has been heard; 0 if one is
+	regained float64         // when a majority was last heard again, after none had been
 
 	ballots
 	leases
@@ -73,7 +74,7 @@
 func New(c Config, stored []Record, now float64) *Machine {
 	c.defaults()
 	m := &Machine{c: c, self: Ident{Addr: c.Self.Addr}, now: now, start: now, viewSince: now,
-		peers: map[Ident]*peer{}, rng: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)), regained: now - 1e9}
+		peers: map[Ident]*peer{}, awaited: map[string]bool{}, rng: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)), regained: now - 1e9}
 	m.life = m.rng.Uint64() | 1
 	for _, r := range stored {
 		m.restore(r)
--- a/internal/cairn/replace_test.go
+++ b/internal/cairn/replace_test.go
@@ -431,3 +431,25 @@
 		}
 	}
 }
+
+// TestAFirstMachineThatLosesItsDiskBeforeItsSeat still gets the seat that it had coming: the members heard of it.
+func TestAFirstMachineThatLosesItsDiskBeforeItsSeat(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 5, 3, faults{})
+		w.calmed = true
+		late := w.nodes[4]
+		heardOf := func(n *node) bool { return n.m.peers[late.m.Self()] != nil }
+		for w.now < 3000 && !slices.ContainsFunc(w.nodes[:3], heardOf) {
+			w.run(w.now + 1)
+		}
+		assert.Assert(t, !late.m.votes(), "it has its seat already")
+		w.wipe(late)
+		late.first = false // its settings say by now that this is no first start
+		w.run(w.now + 300 + 2000*w.rng.Float64())
+		w.boot(late, false)
+		w.run(w.now + 6000)
+		w.progress("a lost disk at the first start")
+		w.settled()
+		assert.NilError(t, w.broken, "seed %d", seed)
+	}
+}
--- a/internal/cairn/seats.go
+++ b/internal/cairn/seats.go
@@ -5,7 +5,8 @@
 // The core changes by agreement alone: each view names the next core, and a majority of the core before has
 // voted for it. It has a fixed number of seats, and one view changes one of them:
 //
-//   - The machines of the very first start that the settings of none named add a seat each.
+//   - The machines of the very first start that the settings of none named add a seat each, also one that lost its
+//     disk before it had it, as long as a member knows its address from then.
 //   - A machine with an empty disk gets the seat of its own address.
 //   - Any other newcomer is filled and waits at the ready. It gets a seat that is free, else that of the member
 //     that nobody has heard for longest, and for Vacant at least, else that of a member that is leaving.
@@ -70,9 +71,20 @@
 	return gone
 }
 
+// noteFirst remembers who said that it was there at the very first start and has no seat yet.
+func (m *Machine) noteFirst(from Ident, b Beat) {
+	seat := func(x Ident) bool { return x.Addr == from.Addr }
+	if b.First && !slices.ContainsFunc(m.view.Core, seat) {
+		m.awaited[from.Addr] = true
+	}
+}
+
+// bringsSeat says whether a newcomer brings a seat of its own.
+func (m *Machine) bringsSeat(x Ident, b Beat) bool { return b.First || m.awaited[x.Addr] }
+
 // open says whether a newcomer may have a seat, or could have one soon.
-func (m *Machine) open(b Beat) bool {
-	return len(m.view.Core) < m.view.Seats || b.First || m.vacant(nil, m.c.Suspect) != nil
+func (m *Machine) open(x Ident, b Beat) bool {
+	return len(m.view.Core) < m.view.Seats || m.bringsSeat(x, b) || m.vacant(nil, m.c.Suspect) != nil
 }
 
 // stale says whether a machine outside the chain must be given the whole state to go on: it has not got it in
@@ -84,7 +96,7 @@
 	}
 	seat := func(y Ident) bool { return y.Addr == x.Addr }
 	_, holds := m.holds(b.Last)
-	return !holds && m.now-m.peers[x].filled > m.c.Vacant && !slices.ContainsFunc(m.view.Core, seat) && m.open(b)
+	return !holds && m.now-m.peers[x].filled > m.c.Vacant && !slices.ContainsFunc(m.view.Core, seat) && m.open(x, b)
 }
 
 // newcomer is a machine outside the core that is filled and has a path with all members of the chain, and what
@@ -122,7 +134,7 @@
 		return v
 	} else {
 		switch gone = m.vacant(chain, m.c.Vacant); {
-		case b.First || m.faults.ghosts:
+		case m.bringsSeat(*join, b) || m.faults.ghosts:
 			gone, v.Seats = nil, v.Seats+1
 		case len(v.Core) < v.Seats:
 			gone = nil
--- a/internal/cairn/view.go
+++ b/internal/cairn/view.go
@@ -144,6 +144,7 @@
 		m.nextBeat = m.now // it is to learn at once that there is a path again
 	}
 	p.heard, p.beat = m.now, b
+	m.noteFirst(from, b)
 	if b.View < m.view.No && m.now-p.news > 40 {
 		p.news = m.now
 		m.news(from)
@@ -455,6 +456,9 @@
 func (m *Machine) enterView(v View, whole bool) {
 	m.view, m.whole, m.filled, m.viewSince = v, whole, false, m.now
 	m.extra = m.extra && !m.votes()
+	for _, x := range v.Core {
+		delete(m.awaited, x.Addr)
+	}
 	m.promised, m.accepted = Ballot{}, nil
 	m.clearVolatile()
 	m.sync(Record{View: &ViewRecord{View: v, Whole: whole}})
--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -114,6 +114,8 @@
 	// The core changes by agreement.
 	{corner: "replacement", name: "a newcomer takes nobody's seat", file: cairns + "seats.go",
 		old: "		case gone == nil:\n			return v // all are there\n", wrong: "		case gone == nil:\n			v.Seats++\n", tests: "TestALeaverHandsOver|TestWhoOthersHearKeepsItsSeat"},
+	{corner: "replacement", name: "a first machine that lost its disk before its seat has none coming", file: cairns + "seats.go",
+		old: "return b.First || m.awaited[x.Addr] }", wrong: "return b.First }", tests: "TestAFirstMachineThatLosesItsDiskBeforeItsSeat"},
 	{corner: "replacement", name: "a seat that is silent is not vacant", file: cairns + "seats.go",
 		old: "		case silent && s >= after:", wrong: "		case false && s >= after:", tests: "TestASecondLossDuringAMend|TestTwoReplacementsAndACut"},
 	{corner: "replacement", name: "a leaver's seat goes before that of one that has just fallen silent", file: cairns + "seats.go",
