--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"foxwood/internal/cairn"
+	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
 	"foxwood/internal/slowstart"
@@ -22,7 +23,6 @@
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
-	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
 )
 
@@ -69,7 +69,7 @@
 	mu        sync.Mutex
 	news      chan struct{} // closed at news
 	book      *membership.Book
-	warden    *warden.Machine
+	election  *election.Machine
 	roster    *roster
 	allot     *quota.Allotter
 	slowStart *slowstart.Coordinator
@@ -140,8 +140,8 @@
 		first = keep(set.ArchiveDir, nil, 0) == nil
 	}
 	b.kept, b.keptEpoch = kept, epoch
-	b.warden = warden.New(self, rand.Uint64(), b.now(), dutyLease, first, append([]string{dutyRoster, dutySlices}, duties...)...)
-	b.warden.Remember(kept, epoch)
+	b.election = election.New(self, rand.Uint64(), b.now(), dutyLease, first, append([]string{dutyRoster, dutySlices}, duties...)...)
+	b.election.Remember(kept, epoch)
 	b.allot = quota.New(sliceLease, quota.BoundsOf(&set.Bounds))
 	b.allot.Homes = true
 	b.slowStart = slowstart.New(sliceLease)
@@ -335,7 +335,7 @@
 		b.asked = max(b.asked, asked)
 	}
 	if (got.View == nil && view == b.view.No || got.View != nil && got.View.No == b.view.No) && len(b.core) > 0 {
-		b.warden.Electorate(b.now(), asked, b.core, b.view.Epoch, b.view.Removed)
+		b.election.Electorate(b.now(), asked, b.core, b.view.Epoch, b.view.Removed)
 	}
 }
 
@@ -536,7 +536,7 @@
 func (b *Bothy) leave() {
 	b.mu.Lock()
 	b.stopped = true
-	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Resign})
+	out := b.election.Step(b.now(), election.Event{Kind: election.Resign})
 	b.mu.Unlock()
 	b.send(out)
 }
--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -11,12 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
+	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
 	"foxwood/internal/trailhead"
-	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -102,22 +102,22 @@
 
 // simGatekeeper is one gatekeeper.
 type simGatekeeper struct {
-	w        *coldWorld
-	station  string
-	zone     string
-	life     uint64
-	turn     uint64
-	reach    func() []*simRegistry // registries in touch, the preferred one first
-	cut      bool                  // off from all registries
-	frozen   float64               // until then
-	larder   *larder.Larder
-	crowd    waymark.Crowd
-	lease    slowstart.Lease
-	gateway  *policy.Gateway
-	requests uint32
-	turns    uint64
-	attempts map[uint32]int
-	timers   []simTimer
+	w           *coldWorld
+	station     string
+	zone        string
+	life        uint64
+	turn        uint64
+	reach       func() []*simRegistry // registries in touch, the preferred one first
+	cut         bool                  // off from all registries
+	frozen      float64               // until then
+	configcache *configcache.Cache
+	crowd       waymark.Crowd
+	lease       slowstart.Lease
+	gateway     *policy.Gateway
+	requests    uint32
+	turns       uint64
+	attempts    map[uint32]int
+	timers      []simTimer
 }
 
 type simTimer struct {
@@ -142,7 +142,7 @@
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return w.now }
 		b.book = membership.New(addrs[i], uint64(i+1), w.now, lapse)
-		b.warden = warden.New(addrs[i], uint64(i+1), w.now, dutyLease, true, dutyRoster, dutySlices)
+		b.election = election.New(addrs[i], uint64(i+1), w.now, dutyLease, true, dutyRoster, dutySlices)
 		b.view = cairn.View{No: 1, Chain: core, Core: core, Epoch: 1, Seats: 4}
 		b.parsed = table
 		b.electorate()
@@ -194,7 +194,7 @@
 func (g *simGatekeeper) restart() {
 	w := g.w
 	w.serial++
-	g.life, g.turn, g.larder, g.crowd = uint64(w.serial), 0, larder.New(), waymark.Crowd{}
+	g.life, g.turn, g.configcache, g.crowd = uint64(w.serial), 0, configcache.New(), waymark.Crowd{}
 	g.lease = slowstart.Lease{}
 	g.attempts, g.timers = map[uint32]int{}, nil
 	g.gateway = policy.New(policy.Settings{Gateways: 9, Self: int(g.life), Tick: 1000, MaxAttempts: 1, Cancel: true, RetryAfter: true, Largest: 1, Turns: true,
@@ -254,7 +254,7 @@
 	g.turn++
 	q := waymark.Sign{Member: membership.Member{Station: g.station, Zone: g.zone, Region: "r0", Life: g.life, Turn: g.turn, Inner: g.station + ":1", Ready: true},
 		Crowd: g.crowd.Mark}
-	g.larder.Question(&q)
+	g.configcache.Question(&q)
 	a, err := near[0].sign(g.w.t.Context(), q)
 	assert.NilError(g.w.t, err)
 	if a.Stale && len(near) > 1 {
@@ -262,8 +262,8 @@
 		q.Member.Turn = g.turn
 		_, _ = near[1].sign(g.w.t.Context(), q) // it signs elsewhere from now on, and comes back here later
 	}
-	g.larder.Hear(g.w.now, &a)
-	g.larder.Stock(g.w.now, a.Parts)
+	g.configcache.Hear(g.w.now, &a)
+	g.configcache.Stock(g.w.now, a.Parts)
 	if a.Crowd != nil && a.Crowd.Place >= 0 {
 		g.crowd = *a.Crowd
 	}
@@ -276,7 +276,7 @@
 	if len(near) == 0 {
 		return
 	}
-	holder := near[0].warden.Holder(g.w.now, dutySlices)
+	holder := near[0].election.Holder(g.w.now, dutySlices)
 	i := slices.IndexFunc(g.w.registries, func(r *simRegistry) bool { return r.addr == holder })
 	if i < 0 || g.w.registries[i] != near[0] && !g.w.linked(near[0], g.w.registries[i]) {
 		return
@@ -291,7 +291,7 @@
 // place brings the decision module the workers that the cache has.
 func (g *simGatekeeper) place() {
 	var entries []policy.Entry
-	for _, x := range g.larder.Workers(g.w.now, "a") {
+	for _, x := range g.configcache.Workers(g.w.now, "a") {
 		e := policy.Entry{Server: serverOf(x.ID), State: policy.Ready}
 		if x.Cold > 0 {
 			e.ColdUntil = micros(g.w.now + x.Cold)
@@ -338,12 +338,12 @@
 }
 
 // ballots steps a registry's elections, and brings what they send.
-func (w *coldWorld) ballots(r *simRegistry, e warden.Event) {
-	out := r.warden.Step(w.now, e)
+func (w *coldWorld) ballots(r *simRegistry, e election.Event) {
+	out := r.election.Step(w.now, e)
 	r.duties(out)
 	for _, m := range out.Send {
 		if to := w.find(m.To); w.linked(r, to) {
-			w.ballots(to, warden.Event{Kind: warden.Heard, Message: m})
+			w.ballots(to, election.Event{Kind: election.Heard, Message: m})
 		}
 	}
 }
@@ -364,10 +364,10 @@
 		}
 		if heard > 2 {
 			r.asked = w.now // the tail has answered
-			r.warden.Electorate(w.now, w.now, r.core, 1, 0)
+			r.election.Electorate(w.now, w.now, r.core, 1, 0)
 		}
 		if every(w.now, 50, phase) {
-			w.ballots(r, warden.Event{Kind: warden.Tick})
+			w.ballots(r, election.Event{Kind: election.Tick})
 		}
 		if every(w.now, simGossip, phase) {
 			for _, to := range w.registries {
@@ -381,7 +381,7 @@
 			}
 			r.rolled()
 		}
-		if term, ok := r.warden.Holds(w.now, dutyRoster); ok && every(w.now, simPoll, phase) {
+		if term, ok := r.election.Holds(w.now, dutyRoster); ok && every(w.now, simPoll, phase) {
 			r.roster.poll(w.now, term, w.list())
 		}
 	}
--- a/internal/bothy/cost_test.go
+++ b/internal/bothy/cost_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
@@ -35,19 +35,19 @@
 
 // costGate is a gatekeeper: what it holds and what it says.
 type costGate struct {
-	guest   membership.Member
-	larder  *larder.Larder
-	crowd   waymark.Crowd
-	cores   uint64
-	edition uint64
-	at      int // of its bothy
-	turn    uint64
-	held    map[string]quota.Slice
-	heldTo  float64
-	signAt  float64
-	drawAt  float64
-	in, out int // bytes
-	spent   time.Duration
+	guest       membership.Member
+	configcache *configcache.Cache
+	crowd       waymark.Crowd
+	cores       uint64
+	edition     uint64
+	at          int // of its bothy
+	turn        uint64
+	held        map[string]quota.Slice
+	heldTo      float64
+	signAt      float64
+	drawAt      float64
+	in, out     int // bytes
+	spent       time.Duration
 }
 
 // costRun is a fleet and what was counted.
@@ -80,7 +80,7 @@
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return c.now }
 		b.book = membership.New(set.Inner(bothyDock), uint64(i+1), 0, lapse)
-		b.warden.Remember(nil, 0)
+		b.election.Remember(nil, 0)
 		c.bothies = append(c.bothies, b)
 	}
 	for _, b := range c.bothies {
@@ -95,7 +95,7 @@
 	c.in, c.out, c.spent = make([]int, costBothies), make([]int, costBothies), make([]time.Duration, costBothies)
 	for i := range gatekeepers {
 		zone := i % costZones
-		g := &costGate{larder: larder.New(), at: i % costBothies, held: map[string]quota.Slice{}, signAt: float64(i%50) * 10,
+		g := &costGate{configcache: configcache.New(), at: i % costBothies, held: map[string]quota.Slice{}, signAt: float64(i%50) * 10,
 			drawAt: 3000 + float64(i*7%50)*10, guest: membership.Member{Station: fmt.Sprintf("counter-z%d-%d", zone, i/costZones), Zone: fmt.Sprint("z", zone),
 				Region: fmt.Sprint("r", zone%2), Life: uint64(i) + 1<<60, Counter: fmt.Sprintf("10.%d.0.%d:8206", zone+1, i/costZones+20),
 				Inner: fmt.Sprintf("10.%d.0.%d:7460", zone+1, i/costZones+20), Ready: true}}
@@ -200,7 +200,7 @@
 	g.guest.Turn = g.turn
 	q := waymark.Sign{Member: g.guest, Crowd: g.crowd.Mark, Cores: g.cores, Wait: 500}
 	var a waymark.Signed
-	c.timed(&g.spent, func() { g.larder.Question(&q) })
+	c.timed(&g.spent, func() { g.configcache.Question(&q) })
 	c.timed(&c.spent[g.at], func() {
 		b.book.Sign(c.now, q.Member)
 		b.rolled()
@@ -215,9 +215,9 @@
 
 // heard takes the news, and asks homes for what is lacking.
 func (c *costRun) heard(g *costGate, a *waymark.Signed) {
-	g.larder.Hear(c.now, a)
+	g.configcache.Hear(c.now, a)
 	if len(a.Body) > 0 && a.Edition > g.edition {
-		g.larder.Body(a.Edition, a.Body)
+		g.configcache.Body(a.Edition, a.Body)
 	}
 	if a.CoresNow != 0 {
 		g.cores = a.CoresNow
@@ -225,24 +225,24 @@
 	if a.Crowd != nil {
 		g.crowd = *a.Crowd
 	}
-	asks, _ := g.larder.Plan(c.now, larder.Zone{Name: g.guest.Zone, Self: g.guest.Inner, Ready: true, Near: g.crowd.Peers[:len(g.crowd.Near)]})
+	asks, _ := g.configcache.Plan(c.now, configcache.Zone{Name: g.guest.Zone, Self: g.guest.Inner, Ready: true, Near: g.crowd.Peers[:len(g.crowd.Near)]})
 	for at, q := range asks {
 		home := c.by[at]
 		if c.whole {
 			q.Have = nil
 		}
 		var got waymark.Subscribed
-		if home.larder.Has(&q) {
-			got = home.larder.Give(c.now, &q)
+		if home.configcache.Has(&q) {
+			got = home.configcache.Give(c.now, &q)
 		}
 		x, y := traverse.Size(q, true), traverse.Size(got, false)
 		g.out, home.in, home.out, g.in = g.out+x, home.in+x, home.out+y, g.in+y
 		c.calls["homes"] += x + y
-		g.larder.Stock(c.now, got.Parts)
+		g.configcache.Stock(c.now, got.Parts)
 		if len(got.Body) > 0 {
-			g.larder.Body(a.Edition, got.Body)
+			g.configcache.Body(a.Edition, got.Body)
 		}
-		g.larder.Asked(c.now, at, &q, nil)
+		g.configcache.Asked(c.now, at, &q, nil)
 	}
 }
 
@@ -384,9 +384,9 @@
 		assert.Assert(t, b.gate < 1.6*a.gate, "%.0f and %.0f bytes a second", a.gate, b.gate)
 	}
 	for _, g := range large.gates {
-		assert.Equal(t, len(g.larder.Workers(large.now, "huvo0")), 47)
+		assert.Equal(t, len(g.configcache.Workers(large.now, "huvo0")), 47)
 		assert.Equal(t, g.crowd.Count, 40)
-		assert.Equal(t, g.larder.Edition(), uint64(1))
+		assert.Equal(t, g.configcache.Edition(), uint64(1))
 	}
 }
 
--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -14,10 +14,10 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
+	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/snowline"
 	"foxwood/internal/traverse"
-	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
 )
 
@@ -49,13 +49,13 @@
 	return asked
 }
 
-func (s *stand) hail(from string, held ...warden.Tenure) {
+func (s *stand) hail(from string, held ...election.Tenure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.warden.Step(s.now(), warden.Event{Kind: warden.Heard, Message: warden.Message{Kind: warden.Hail, From: from, Held: held}})
+	s.election.Step(s.now(), election.Event{Kind: election.Heard, Message: election.Message{Kind: election.Announce, From: from, Held: held}})
 }
 
-// wards steps the warden on for so long.
+// wards steps the election on for so long.
 func (s *stand) wards(now *atomic.Int64, ms int64) {
 	for end := now.Load() + ms; now.Load() < end; {
 		now.Add(min(50, end-now.Load()))
@@ -91,7 +91,7 @@
 	held := waymark.Sign{Roster: version}
 
 	for range 100 { // another has it
-		s.hail(other, warden.Tenure{Duty: dutyRoster, Term: 1})
+		s.hail(other, election.Tenure{Duty: dutyRoster, Term: 1})
 		s.wards(now, 100)
 		s.poll(t.Context())
 	}
@@ -198,12 +198,12 @@
 	self := s.set.Inner(bothyDock)
 	for end := now.Load() + 20_000; now.Load() < end; {
 		s.mu.Lock()
-		s.warden.Electorate(s.now(), s.now(), []string{self}, 1, 0)
+		s.election.Electorate(s.now(), s.now(), []string{self}, 1, 0)
 		s.mu.Unlock()
 		now.Add(20)
 		s.ward(s.t.Context())
 		s.mu.Lock()
-		term, ok := s.warden.Holds(s.now(), dutyRoster)
+		term, ok := s.election.Holds(s.now(), dutyRoster)
 		s.mu.Unlock()
 		if ok && term > above {
 			return term
@@ -423,14 +423,14 @@
 	s.Shed(snowline.Options{})
 	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 1}, State: state(1, 12)}, nil)
 	s.mu.Lock()
-	s.warden = warden.New(s.set.Inner(bothyDock), 1, s.now(), dutyLease, true, dutyRoster, DutyLevel)
+	s.election = election.New(s.set.Inner(bothyDock), 1, s.now(), dutyLease, true, dutyRoster, DutyLevel)
 	s.mu.Unlock()
 	fix := func(ctx context.Context) error {
 		s.alone(now, 0)
 		for held := false; !held; {
 			now.Add(20)
 			s.ward(t.Context())
-			_, held = s.warden.Holds(s.now(), DutyLevel)
+			_, held = s.election.Holds(s.now(), DutyLevel)
 		}
 		_, err := s.fixLevel(ctx, waymark.FixLevel{Cut: 5, ForMs: 1000})
 		return err
--- a/internal/bothy/keep_test.go
+++ b/internal/bothy/keep_test.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/election"
 	"foxwood/internal/trailhead"
-	"foxwood/internal/warden"
 )
 
 // TestRecall: what is whole is read, what is odd tells nothing, and only a missing file is a first start.
@@ -54,7 +54,7 @@
 	dir := filepath.Join(t.TempDir(), "disk")
 	for life := range 2 {
 		b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7001, 7002}, FirstRun: true, ArchiveDir: dir}, zerolog.Nop())
-		voice := b.warden.Step(b.now(), warden.Event{Kind: warden.Heard, Message: warden.Message{Kind: warden.Ballot, From: "x", Duty: dutySlices, Term: 1, Life: 1}})
+		voice := b.election.Step(b.now(), election.Event{Kind: election.Heard, Message: election.Message{Kind: election.Ballot, From: "x", Duty: dutySlices, Term: 1, Life: 1}})
 		assert.Equal(t, voice.Send[0].Yes, life == 0)
 	}
 }
@@ -67,7 +67,7 @@
 	b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7000, 7002}, FirstRun: true, ArchiveDir: t.TempDir()}, zerolog.New(&log))
 	now := 0.0
 	b.clock = func() float64 { return now }
-	b.warden = warden.New(self, 1, now, dutyLease, true, dutySlices)
+	b.election = election.New(self, 1, now, dutyLease, true, dutySlices)
 	type write struct {
 		ids  []string
 		ends chan error
@@ -81,7 +81,7 @@
 	at := func(ms float64) { // asked every 100 ms until then
 		for ; now < ms; now += 100 {
 			b.mu.Lock()
-			b.warden.Electorate(now, now, []string{self}, 1, 0)
+			b.election.Electorate(now, now, []string{self}, 1, 0)
 			b.mu.Unlock()
 			b.ward(t.Context())
 		}
@@ -95,16 +95,16 @@
 		}
 	}
 	settled := func() bool {
-		ids, _ := b.warden.Settled(now)
+		ids, _ := b.election.Settled(now)
 		return len(ids) > 0
 	}
 	for now = 0; !settled(); now += 100 {
-		b.warden.Electorate(now, now, []string{self}, 1, 0)
+		b.election.Electorate(now, now, []string{self}, 1, 0)
 	}
 	at(now + 5000) // one hangs, and no other is begun
 	w := <-writes
 	assert.DeepEqual(t, w.ids, []string{self})
-	assert.Equal(t, b.warden.Holder(now, dutySlices), self)
+	assert.Equal(t, b.election.Holder(now, dutySlices), self)
 	over(w, unix.ENOSPC)
 	for range 3 {
 		failed := now
--- a/internal/bothy/metrics.go
+++ b/internal/bothy/metrics.go
@@ -33,8 +33,8 @@
 	for reason, n := range map[string]uint64{"conflict": b.counts.Conflicts, "invalid": b.counts.Refused, "unavailable": b.counts.Failed} {
 		figures = append(figures, metrics.Count("refusals_total", "Outside calls refused, by reason.", n, metrics.Label{Name: "reason", Value: reason}))
 	}
-	for _, duty := range b.warden.Duties() {
-		term, held := b.warden.Holds(now, duty)
+	for _, duty := range b.election.Duties() {
+		term, held := b.election.Holds(now, duty)
 		label := metrics.Label{Name: "duty", Value: duty}
 		figures = append(figures, metrics.Flag("duty_held", "Whether this process holds the duty.", held, label),
 			metrics.Gauge("duty_term", "Term in which it holds the duty; 0 for none.", float64(term), label))
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -237,7 +237,7 @@
 func (b *Bothy) poll(ctx context.Context) {
 	b.mu.Lock()
 	began, version := b.now(), b.roster.version
-	before, ok := b.warden.Holds(began, dutyRoster)
+	before, ok := b.election.Holds(began, dutyRoster)
 	empty := version == 0 && began > pollAlone
 	orphan := !ok && !empty && b.strikes.orphaned(began) && began >= b.strikes.next
 	b.mu.Unlock()
@@ -248,7 +248,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Polls++
-	term, ok := b.warden.Holds(b.now(), dutyRoster)
+	term, ok := b.election.Holds(b.now(), dutyRoster)
 	ok = ok && term == before        // a list that was begun in another term may be older than what that has told
 	ok = ok || b.roster.version == 0 // who knows of no worker does not wait for the duty to be won
 	switch {
--- a/internal/bothy/probe.go
+++ b/internal/bothy/probe.go
@@ -61,7 +61,7 @@
 // probe probes what is due, where this bothy has the workers' list.
 func (b *Bothy) probe(ctx context.Context) {
 	b.mu.Lock()
-	term, ok := b.warden.Holds(b.now(), dutyRoster)
+	term, ok := b.election.Holds(b.now(), dutyRoster)
 	b.probeRoom = min(b.probeRoom+b.probes*probeEvery.Seconds(), max(b.probes, 1))
 	var at []string
 	var ids []string
@@ -79,7 +79,7 @@
 		cold, ok := ask(ctx, at[i], ids[i])
 		b.mu.Lock()
 		b.counts.Probes++
-		if now, still := b.warden.Holds(b.now(), dutyRoster); ok && still && now == term && b.roster.told(b.now(), term, ids[i], cold) {
+		if now, still := b.election.Holds(b.now(), dutyRoster); ok && still && now == term && b.roster.told(b.now(), term, ids[i], cold) {
 			b.changed()
 		}
 		b.mu.Unlock()
--- a/internal/bothy/relay.go
+++ b/internal/bothy/relay.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
@@ -26,7 +26,7 @@
 		some = true
 		// A large one goes to each: over a thin link its home would have it out for seconds, ahead of
 		// its own clients' answers.
-		if q.Edition == 0 || q.Body || own(larder.Timetable) || len(b.packed) > relayMost {
+		if q.Edition == 0 || q.Body || own(configcache.Timetable) || len(b.packed) > relayMost {
 			a.Body = b.packed
 		} else {
 			a.Bulk = len(b.packed)
--- a/internal/bothy/relay_test.go
+++ b/internal/bothy/relay_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
 	"foxwood/internal/waymark"
 )
@@ -22,7 +22,7 @@
 // TestWhoIsSentWhat: bodies and parts go to homes, to who holds nothing, and to who wants them.
 func TestWhoIsSentWhat(t *testing.T) {
 	roll := zoned("g1", "g2", "g3")
-	body, part := membership.Home(roll, "z", larder.Timetable), membership.Home(roll, "z", "d")
+	body, part := membership.Home(roll, "z", configcache.Timetable), membership.Home(roll, "z", "d")
 	other := ""
 	for _, g := range roll.Members {
 		if g.Inner != body && g.Inner != part {
@@ -73,9 +73,9 @@
 		now, term := 0.0, uint64(1)
 		bothies := []*Bothy{{roster: newRoster()}, {roster: newRoster()}}
 		names := []string{"g1", "g2", "g3", "g4"}
-		larders := map[string]*larder.Larder{}
+		larders := map[string]*configcache.Cache{}
 		for _, n := range names {
-			larders[n] = larder.New()
+			larders[n] = configcache.New()
 		}
 		list := map[string]waymark.Worker{}
 		for range 120 {
@@ -108,7 +108,7 @@
 			}
 			for _, n := range names {
 				if r.IntN(40) == 0 {
-					larders[n] = larder.New()
+					larders[n] = configcache.New()
 				}
 				l, b := larders[n], bothies[r.IntN(2)]
 				roll := zoned(names[r.IntN(2):]...)
@@ -120,7 +120,7 @@
 					l.Hear(now, &a)
 				}
 				sign()
-				asks, _ := l.Plan(now, larder.Zone{Name: "z", Self: n, Ready: true, Near: names[r.IntN(3):]})
+				asks, _ := l.Plan(now, configcache.Zone{Name: "z", Self: n, Ready: true, Near: names[r.IntN(3):]})
 				for at, q := range asks {
 					err := fmt.Errorf("late")
 					if r.IntN(4) > 0 && at != n {
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -10,11 +10,11 @@
 
 	"github.com/zeebo/xxh3"
 
+	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
-	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
 )
 
@@ -28,7 +28,7 @@
 	} else {
 		b.book.Sign(came, q.Member)
 	}
-	b.warden.Learn(dutyRoster, q.Roster>>termShift)
+	b.election.Learn(dutyRoster, q.Roster>>termShift)
 	b.strikes.newest = max(b.strikes.newest, q.Roster)
 	b.rolled()
 	kept := q.Leaving || b.lifeKept(q.Member.Station)
@@ -170,7 +170,7 @@
 // draw answers a gatekeeper's asking for its slices, here or at the bothy that has the duty.
 func (b *Bothy) draw(ctx context.Context, q waymark.Draw) (waymark.Drawn, error) {
 	b.mu.Lock()
-	holder := b.warden.Holder(b.now(), dutySlices)
+	holder := b.election.Holder(b.now(), dutySlices)
 	if holder == b.set.Inner(bothyDock) {
 		defer b.mu.Unlock()
 		return b.drawn(q)
@@ -190,7 +190,7 @@
 func (b *Bothy) drawn(q waymark.Draw) (waymark.Drawn, error) {
 	b.counts.Draws++
 	now := b.now()
-	if _, ok := b.warden.Holds(now, dutySlices); !ok || b.parsed == nil {
+	if _, ok := b.election.Holds(now, dutySlices); !ok || b.parsed == nil {
 		return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "the duty is lost")
 	}
 	demand := make(quota.Demand, len(q.Demand))
@@ -228,11 +228,11 @@
 		b.mu.Unlock()
 		return
 	}
-	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Tick})
+	out := b.election.Step(b.now(), election.Event{Kind: election.Tick})
 	b.duties(out)
-	b.strikes.watch(b.now(), b.warden.Holder(b.now(), dutyRoster))
+	b.strikes.watch(b.now(), b.election.Holder(b.now(), dutyRoster))
 	b.watchLives()
-	settled, epoch := b.warden.Settled(b.now())
+	settled, epoch := b.election.Settled(b.now())
 	again := b.set.ArchiveDir != "" && settled != nil && (epoch != b.keptEpoch || !slices.Equal(settled, b.kept)) && b.keeping.begin(b.now())
 	b.mu.Unlock()
 	b.send(out)
@@ -242,7 +242,7 @@
 }
 
 // duties takes duties up and lays them down. The lock is held.
-func (b *Bothy) duties(out warden.Out) {
+func (b *Bothy) duties(out election.Out) {
 	for _, d := range out.Won {
 		b.log.Info().Str("duty", d.Duty).Uint64("term", d.Term).Float64("vacantMs", d.VacantMs).Msg("won")
 		b.levelDuty(d.Duty, d.Term, true)
@@ -263,7 +263,7 @@
 	}
 }
 
-func (b *Bothy) send(out warden.Out) {
+func (b *Bothy) send(out election.Out) {
 	for _, m := range out.Send {
 		b.mu.Lock()
 		p := b.peers[m.To]
@@ -274,14 +274,14 @@
 	}
 }
 
-// balloted takes a message of another bothy's warden.
-func (b *Bothy) balloted(_ context.Context, m warden.Message) (waymark.AskStatus, error) {
+// balloted takes a message of another bothy's election.
+func (b *Bothy) balloted(_ context.Context, m election.Message) (waymark.AskStatus, error) {
 	b.mu.Lock()
 	if b.stopped {
 		b.mu.Unlock()
 		return waymark.AskStatus{}, nil
 	}
-	out := b.warden.Step(b.now(), warden.Event{Kind: warden.Heard, Message: m})
+	out := b.election.Step(b.now(), election.Event{Kind: election.Heard, Message: m})
 	b.duties(out)
 	b.mu.Unlock()
 	b.send(out)
@@ -300,7 +300,7 @@
 	say("tail asked %.0f ms ago", now-b.asked)
 	say("evacuated %v", b.evacs)
 	for _, d := range []string{dutyRoster, dutySlices} {
-		say("duty %s held by %s", d, b.warden.Holder(now, d))
+		say("duty %s held by %s", d, b.election.Holder(now, d))
 	}
 	s.Lines = append(s.Lines, b.levelLines()...)
 	say("roster version %d, %d workers, polled %.0f ms ago, %d taken away without the duty", b.roster.version, len(b.roster.listed), now-b.polled,
--- a/internal/bothy/sessions_test.go
+++ b/internal/bothy/sessions_test.go
@@ -8,10 +8,10 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
+	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
 	"foxwood/internal/traverse"
-	"foxwood/internal/warden"
 	"foxwood/internal/waymark"
 )
 
@@ -220,7 +220,7 @@
 	holds := func(from string) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.warden.Step(s.now(), warden.Event{Kind: warden.Heard, Message: warden.Message{Kind: warden.Hail, From: from, Held: []warden.Tenure{{Duty: dutySlices, Term: 3}}}})
+		s.election.Step(s.now(), election.Event{Kind: election.Heard, Message: election.Message{Kind: election.Announce, From: from, Held: []election.Tenure{{Duty: dutySlices, Term: 3}}}})
 	}
 	s.peers[addr] = traverse.NewPeer(addr)
 	var got waymark.Drawn
@@ -251,17 +251,17 @@
 	s.says(waymark.Confirmed{Last: cairn.Stamp{Seq: 1}, State: state(1, 12), View: &cairn.View{No: 1, Core: []cairn.Ident{{Addr: "127.0.0.1:7461"}}}}, nil)
 	for holder := ""; holder != self; { // one that votes alone wins at a step of its own
 		s.mu.Lock()
-		s.warden.Electorate(s.now(), s.now(), []string{self}, 1, 0)
+		s.election.Electorate(s.now(), s.now(), []string{self}, 1, 0)
 		s.mu.Unlock()
 		s.ward(t.Context())
 		s.mu.Lock()
-		holder = s.warden.Holder(s.now(), dutySlices)
+		holder = s.election.Holder(s.now(), dutySlices)
 		s.mu.Unlock()
 		s.pass(20)
 	}
 	draw := func(turn uint64, passed bool) (waymark.Drawn, error) {
 		s.mu.Lock()
-		s.warden.Electorate(s.now(), s.now(), []string{self}, 1, 0)
+		s.election.Electorate(s.now(), s.now(), []string{self}, 1, 0)
 		s.mu.Unlock()
 		s.ward(t.Context()) // the duty is renewed right before
 		return s.draw(t.Context(), waymark.Draw{Station: "p", Life: 1, Turn: turn, Passed: passed})
--- a/internal/bothy/shed.go
+++ b/internal/bothy/shed.go
@@ -56,7 +56,7 @@
 // The lock is held.
 func (b *Bothy) stepLevel() {
 	now := b.now()
-	if _, ok := b.warden.Holds(now, DutyLevel); !ok || b.stopped {
+	if _, ok := b.election.Holds(now, DutyLevel); !ok || b.stopped {
 		return
 	}
 	since := b.level.Since()
@@ -74,13 +74,13 @@
 func (b *Bothy) strain(ctx context.Context, q waymark.Strain) (a waymark.Eased, err error) {
 	b.mu.Lock()
 	now := b.now()
-	if _, ok := b.warden.Holds(now, DutyLevel); ok {
+	if _, ok := b.election.Holds(now, DutyLevel); ok {
 		defer b.mu.Unlock()
 		b.level.Hear(now, q.Report)
 		b.stepLevel()
 		return waymark.Eased{Level: b.level.Level()}, nil
 	}
-	p := b.peers[b.warden.Holder(now, DutyLevel)]
+	p := b.peers[b.election.Holder(now, DutyLevel)]
 	b.mu.Unlock()
 	if p == nil || q.Passed {
 		return a, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
@@ -118,13 +118,13 @@
 	}
 	b.mu.Lock()
 	now := b.now()
-	if _, ok := b.warden.Holds(now, DutyLevel); ok {
+	if _, ok := b.election.Holds(now, DutyLevel); ok {
 		defer b.mu.Unlock()
 		b.level.Fix(now, max(q.Cut, 1), q.ForMs)
 		b.log.Info().Str("refused", snowline.Describe(q.Cut)).Float64("forMs", q.ForMs).Msg("an operator's order for the shedding level")
 		return waymark.Eased{Level: b.level.Level()}, nil
 	}
-	p := b.peers[b.warden.Holder(now, DutyLevel)]
+	p := b.peers[b.election.Holder(now, DutyLevel)]
 	b.mu.Unlock()
 	if p == nil || q.Passed {
 		return a, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
@@ -142,10 +142,10 @@
 	}
 	now, l := b.now(), b.level.Level()
 	say := func(format string, a ...any) { lines = append(lines, fmt.Sprintf(format, a...)) }
-	say("duty %s held by %s", DutyLevel, b.warden.Holder(now, DutyLevel))
+	say("duty %s held by %s", DutyLevel, b.election.Holder(now, DutyLevel))
 	say("shedding level %d turn %d refuses %s, never shed: priority below %d, least of a tier %.2f, callers by %q",
 		l.Number, l.Turn, snowline.DescribeAll(l.Cut, l.Cuts), l.Never, l.Least, l.Caller)
-	if _, ok := b.warden.Holds(now, DutyLevel); ok {
+	if _, ok := b.election.Holds(now, DutyLevel); ok {
 		say("shedding level stands for %.0f ms: %s; offered %.1f/s, fits %.1f/s (0: not known), at services %v", now-b.level.Since(), l.Why,
 			b.level.Load().Sum(), b.level.Rate(), b.level.Rates())
 	}
--- a/internal/bothy/strikes.go
+++ b/internal/bothy/strikes.go
@@ -17,7 +17,7 @@
 const (
 	orphanAfter = 1500.0 // milliseconds without a holder of the duty, after which a bothy reads the list by itself
 	orphanShare = 0.5    // of the platform's rate, for all bothies that read so
-	wardGap     = 500.0  // milliseconds between two steps of the warden after which the process stood still
+	wardGap     = 500.0  // milliseconds between two steps of the election after which the process stood still
 	readMost    = 2000.0 // milliseconds from a reading's begin after which it is too old to take away by
 )
 
--- a/internal/larder/larder.go
+++ b/internal/configcache/configcache.go
@@ -1,10 +1,10 @@
-// Package larder is what a gatekeeper holds and hands on: the configuration, the evacuations and
+// Package configcache is what a gatekeeper holds and hands on: the configuration, the evacuations and
 // the workers by destination. It says what is lacking of what was announced, whom to ask for it,
 // and what a neighbour can be given. Nothing in it ever goes back: editions and versions only
 // rise, whoever tells them.
 //
 // Times are milliseconds of the caller's steady clock.
-package larder
+package configcache
 
 import (
 	"maps"
@@ -21,8 +21,8 @@
 // without it a dead one would delay each piece of news anew.
 const awayMs = 1000
 
-// Larder is what one gatekeeper holds. It isn't safe for use by several goroutines.
-type Larder struct {
+// Cache is what one gatekeeper holds. It isn't safe for use by several goroutines.
+type Cache struct {
 	edition uint64
 	body    []byte
 	told    uint64 // the highest edition that was announced
@@ -39,13 +39,13 @@
 	struck     map[string]uint64 // workers to send nothing more to, with the version known then
 	struckMark uint64            // of those heard of last
 
-	heard   uint64 // version up to which all marks are known
-	shelves map[string]*shelf
-	away    map[string]float64 // homes that are left alone, until when
+	heard    uint64 // version up to which all marks are known
+	services map[string]*service
+	away     map[string]float64 // homes that are left alone, until when
 }
 
-// shelf is the workers of one destination.
-type shelf struct {
+// service is the workers of one destination.
+type service struct {
 	have, want uint64 // the version held, and the lowest that will do
 	tried      uint64 // the version that a home was last asked for
 	turn       uint64 // rises when the workers change
@@ -71,23 +71,23 @@
 const goneMs = 30_000
 
 // New makes an empty one.
-func New() *Larder { return &Larder{shelves: map[string]*shelf{}, away: map[string]float64{}} }
+func New() *Cache { return &Cache{services: map[string]*service{}, away: map[string]float64{}} }
 
-func (l *Larder) shelf(name string) *shelf {
-	s := l.shelves[name]
+func (l *Cache) service(name string) *service {
+	s := l.services[name]
 	if s == nil {
-		s = &shelf{workers: map[string]kept{}, gone: map[string]gone{}}
-		l.shelves[name] = s
+		s = &service{workers: map[string]kept{}, gone: map[string]gone{}}
+		l.services[name] = s
 	}
 	return s
 }
 
 // Question fills in what a sign says of what is held. What is lacking is wanted from the bothy:
 // the homes have been asked by then.
-func (l *Larder) Question(q *waymark.Sign) {
+func (l *Cache) Question(q *waymark.Sign) {
 	q.Edition, q.Evac, q.Roster, q.Body, q.Want, q.Shadow = l.edition, l.evac, l.heard, l.told > l.edition, nil, l.shadow
 	q.Struck = l.struckMark
-	for name, s := range l.shelves {
+	for name, s := range l.services {
 		if s.have < s.want {
 			if q.Want == nil {
 				q.Want = map[string]uint64{}
@@ -98,7 +98,7 @@
 }
 
 // Hear takes a bothy's news, but for the configuration's body.
-func (l *Larder) Hear(now float64, a *waymark.Signed) {
+func (l *Cache) Hear(now float64, a *waymark.Signed) {
 	if a.Edition > l.told {
 		l.told, l.bulk = a.Edition, a.Bulk
 	}
@@ -113,10 +113,10 @@
 	m := a.Marks
 	if m != nil {
 		for name, behind := range m.Behind {
-			s := l.shelf(name)
+			s := l.service(name)
 			s.want = max(s.want, m.Version-behind)
 		}
-		for name, s := range l.shelves {
+		for name, s := range l.services {
 			if _, named := m.Behind[name]; m.Whole && !named && s.have < m.Version {
 				s.put(m.Version, nil, true, now)
 			}
@@ -125,7 +125,7 @@
 	}
 	l.Stock(now, a.Parts)
 	if m != nil { // what has not changed stands for the new version too
-		for _, s := range l.shelves {
+		for _, s := range l.services {
 			if s.have >= s.want {
 				s.have = max(s.have, m.Version)
 			}
@@ -134,15 +134,15 @@
 }
 
 // Stock takes parts. Changes since a version that is not held are left: something would lack.
-func (l *Larder) Stock(now float64, parts []waymark.Part) {
+func (l *Cache) Stock(now float64, parts []waymark.Part) {
 	for _, p := range parts {
-		if s := l.shelf(p.Destination); p.Version > s.have && (p.Since == 0 || p.Since <= s.have) {
+		if s := l.service(p.Destination); p.Version > s.have && (p.Since == 0 || p.Since <= s.have) {
 			s.put(p.Version, p.Workers, p.Since == 0, now)
 		}
 	}
 }
 
-func (s *shelf) put(version uint64, workers []waymark.Worker, whole bool, now float64) {
+func (s *service) put(version uint64, workers []waymark.Worker, whole bool, now float64) {
 	if whole { // what changed on the way to it, and changed back, is not known
 		clear(s.workers)
 		clear(s.gone)
@@ -173,7 +173,7 @@
 }
 
 // Body takes a configuration that was read, and tells whether it is newer.
-func (l *Larder) Body(edition uint64, body []byte) bool {
+func (l *Cache) Body(edition uint64, body []byte) bool {
 	if edition <= l.edition {
 		return false
 	}
@@ -183,41 +183,41 @@
 }
 
 // Evacuate takes a newer list of evacuated zones.
-func (l *Larder) Evacuate(evac uint64, zones []string) {
+func (l *Cache) Evacuate(evac uint64, zones []string) {
 	if evac > l.evac {
 		l.evac, l.evacuated = evac, zones
 	}
 }
 
 // Shadow takes a newer order for copies.
-func (l *Larder) Shadow(number uint64, order []byte) {
+func (l *Cache) Shadow(number uint64, order []byte) {
 	if number > l.shadow && len(order) > 0 {
 		l.shadow, l.order = number, order
 	}
 }
 
 // Order is the order for copies and its number, 0 where there never was one.
-func (l *Larder) Order() (uint64, []byte) { return l.shadow, l.order }
+func (l *Cache) Order() (uint64, []byte) { return l.shadow, l.order }
 
 // Edition is the configuration's that is held.
-func (l *Larder) Edition() uint64 { return l.edition }
+func (l *Cache) Edition() uint64 { return l.edition }
 
 // Heard is the version of the workers that was last announced.
-func (l *Larder) Heard() uint64 { return l.heard }
+func (l *Cache) Heard() uint64 { return l.heard }
 
 // Evacuated is the evacuated zones and their number.
-func (l *Larder) Evacuated() (uint64, []string) { return l.evac, l.evacuated }
+func (l *Cache) Evacuated() (uint64, []string) { return l.evac, l.evacuated }
 
 // TakenBack is the zones whose evacuations were taken back since it was last asked.
-func (l *Larder) TakenBack() (zones []string) {
+func (l *Cache) TakenBack() (zones []string) {
 	zones, l.takenBack = l.takenBack, nil
 	return zones
 }
 
 // Turns is how often each destination's workers have changed.
-func (l *Larder) Turns() map[string]uint64 {
-	turns := make(map[string]uint64, len(l.shelves))
-	for name, s := range l.shelves {
+func (l *Cache) Turns() map[string]uint64 {
+	turns := make(map[string]uint64, len(l.services))
+	for name, s := range l.services {
 		turns[name] = s.turn
 	}
 	return turns
@@ -225,7 +225,7 @@
 
 // strike takes workers away that bothies have noted without the duty to. A later holder's word goes before them;
 // until it has come here, what is held stays without them.
-func (l *Larder) strike(a *waymark.Signed) {
+func (l *Cache) strike(a *waymark.Signed) {
 	if a.StruckNow != 0 {
 		l.struckMark = a.StruckNow
 	}
@@ -235,7 +235,7 @@
 	for _, x := range a.Struck {
 		at, known := l.struck[x.ID]
 		l.struck[x.ID] = max(at, x.At)
-		for _, s := range l.shelves {
+		for _, s := range l.services {
 			if _, ok := s.workers[x.ID]; ok && !known {
 				s.turn++
 			}
@@ -243,7 +243,7 @@
 	}
 	maps.DeleteFunc(l.struck, func(id string, at uint64) bool {
 		x := waymark.Struck{At: at}
-		for _, s := range l.shelves {
+		for _, s := range l.services {
 			if k, ok := s.workers[id]; ok {
 				return x.Void(s.have, k.changed)
 			}
@@ -253,11 +253,11 @@
 }
 
 // Workers is a destination's workers as they are to be used: one that was taken away without the duty is closing.
-func (l *Larder) Workers(now float64, name string) []waymark.Worker {
+func (l *Cache) Workers(now float64, name string) []waymark.Worker {
 	list := l.listed(now, name)
 	for i := range list {
 		if at, ok := l.struck[list[i].ID]; ok {
-			s := l.shelves[name]
+			s := l.services[name]
 			list[i].Closing = list[i].Closing || !(waymark.Struck{At: at}).Void(s.have, s.workers[list[i].ID].changed)
 		}
 	}
@@ -266,8 +266,8 @@
 
 // listed is a destination's workers, with what is left of their cold times: the time they lay
 // here is taken off, so that nobody holds a worker for cold longer than its time.
-func (l *Larder) listed(now float64, name string) []waymark.Worker {
-	s := l.shelves[name]
+func (l *Cache) listed(now float64, name string) []waymark.Worker {
+	s := l.services[name]
 	if s == nil {
 		return nil
 	}
@@ -280,14 +280,14 @@
 	return list
 }
 
-func (l *Larder) part(now float64, name string) waymark.Part {
-	return waymark.Part{Destination: name, Version: l.shelves[name].have, Workers: l.listed(now, name)}
+func (l *Cache) part(now float64, name string) waymark.Part {
+	return waymark.Part{Destination: name, Version: l.services[name].have, Workers: l.listed(now, name)}
 }
 
 // changes is a destination's workers for who holds those of a version: what has changed since,
 // where that is known.
-func (l *Larder) changes(now float64, name string, have uint64) waymark.Part {
-	s := l.shelves[name]
+func (l *Cache) changes(now float64, name string, have uint64) waymark.Part {
+	s := l.services[name]
 	if have == 0 || have < s.since {
 		return l.part(now, name)
 	}
@@ -316,7 +316,7 @@
 // Plan is which home to ask for what, and how large a body may come with it. Each piece of news is
 // asked of one home once. What is still lacking after that the bothy is to give: where we are the
 // home ourselves, where nobody is, where the home has just failed.
-func (l *Larder) Plan(now float64, z Zone) (asks map[string]waymark.Subscribe, bulk int) {
+func (l *Cache) Plan(now float64, z Zone) (asks map[string]waymark.Subscribe, bulk int) {
 	ready := z.Near
 	if z.Ready {
 		ready = append(slices.Clone(ready), z.Self)
@@ -336,7 +336,7 @@
 			bulk = l.bulk
 		}
 	}
-	for name, s := range l.shelves {
+	for name, s := range l.services {
 		if s.have >= s.want || s.tried >= s.want {
 			continue
 		}
@@ -354,7 +354,7 @@
 }
 
 // Asked notes how a home has answered: err where it has not.
-func (l *Larder) Asked(now float64, home string, q *waymark.Subscribe, err error) {
+func (l *Cache) Asked(now float64, home string, q *waymark.Subscribe, err error) {
 	maps.DeleteFunc(l.away, func(_ string, until float64) bool { return until <= now })
 	if err != nil || !l.Has(q) {
 		l.away[home] = now + awayMs
@@ -362,9 +362,9 @@
 }
 
 // Has tells whether all that a neighbour asks for is here.
-func (l *Larder) Has(q *waymark.Subscribe) bool {
+func (l *Cache) Has(q *waymark.Subscribe) bool {
 	for name, version := range q.Parts {
-		if s := l.shelves[name]; s == nil || s.have < version {
+		if s := l.services[name]; s == nil || s.have < version {
 			return false
 		}
 	}
@@ -372,12 +372,12 @@
 }
 
 // Give is what is here of what a neighbour asks for. What is older than that is left out.
-func (l *Larder) Give(now float64, q *waymark.Subscribe) (a waymark.Subscribed) {
+func (l *Cache) Give(now float64, q *waymark.Subscribe) (a waymark.Subscribed) {
 	if q.Edition > 0 && l.edition >= q.Edition {
 		a.Body = l.body
 	}
 	for _, name := range slices.Sorted(maps.Keys(q.Parts)) {
-		if s := l.shelves[name]; s != nil && s.have >= q.Parts[name] {
+		if s := l.services[name]; s != nil && s.have >= q.Parts[name] {
 			a.Parts = append(a.Parts, l.changes(now, name, q.Have[name]))
 		}
 	}
@@ -385,19 +385,19 @@
 }
 
 // Held is what is held, for a neighbour that offers more.
-func (l *Larder) Held() waymark.Lent {
+func (l *Cache) Held() waymark.Lent {
 	h := waymark.Lent{Edition: l.edition, Evac: l.evac, Held: map[string]uint64{}, Shadow: l.shadow}
-	for name, s := range l.shelves {
+	for name, s := range l.services {
 		h.Held[name] = s.have
 	}
 	return h
 }
 
 // Offer tells what could be lent.
-func (l *Larder) Offer() waymark.Lend {
+func (l *Cache) Offer() waymark.Lend {
 	h := l.Held()
 	o := waymark.Lend{Edition: h.Edition, Evac: h.Evac, Held: h.Held, Heard: l.heard, Shadow: h.Shadow}
-	for _, s := range l.shelves {
+	for _, s := range l.services {
 		if s.have < l.heard { // then the parts don't stand for it
 			o.Heard = 0
 		}
@@ -406,9 +406,9 @@
 }
 
 // Exceeds tells whether an offer has what is lacking here.
-func (l *Larder) Exceeds(o *waymark.Lend) bool {
+func (l *Cache) Exceeds(o *waymark.Lend) bool {
 	for name, version := range o.Held {
-		if s := l.shelves[name]; s == nil || s.have < version {
+		if s := l.services[name]; s == nil || s.have < version {
 			return true
 		}
 	}
@@ -416,7 +416,7 @@
 }
 
 // Lend is what a neighbour lacks of what is here, and whether that is anything.
-func (l *Larder) Lend(now float64, h *waymark.Lent) (o waymark.Lend, some bool) {
+func (l *Cache) Lend(now float64, h *waymark.Lent) (o waymark.Lend, some bool) {
 	o = l.Offer()
 	o.Given = true
 	if o.Edition > h.Edition {
@@ -428,8 +428,8 @@
 	if o.Shadow > h.Shadow {
 		o.Order, some = l.order, true
 	}
-	for _, name := range slices.Sorted(maps.Keys(l.shelves)) {
-		if v, ok := h.Held[name]; !ok || l.shelves[name].have > v {
+	for _, name := range slices.Sorted(maps.Keys(l.services)) {
+		if v, ok := h.Held[name]; !ok || l.services[name].have > v {
 			o.Parts, some = append(o.Parts, l.part(now, name)), true
 		}
 	}
@@ -439,7 +439,7 @@
 // Borrow takes what a neighbour lends, but for the body. Who had heard nothing yet also takes
 // over up to where the lender has heard: bothies then tell only what is newer, and learn from it
 // which terms there were.
-func (l *Larder) Borrow(now float64, o *waymark.Lend) {
+func (l *Cache) Borrow(now float64, o *waymark.Lend) {
 	l.Evacuate(o.Evac, o.Evacuated)
 	l.Shadow(o.Shadow, o.Order)
 	l.Stock(now, o.Parts)
@@ -447,7 +447,7 @@
 		return
 	}
 	for name, version := range o.Held {
-		if s := l.shelves[name]; s == nil || s.have < version || version < o.Heard {
+		if s := l.services[name]; s == nil || s.have < version || version < o.Heard {
 			return
 		}
 	}
--- a/internal/larder/larder_test.go
+++ b/internal/configcache/configcache_test.go
@@ -1,4 +1,4 @@
-package larder
+package configcache
 
 import (
 	"errors"
@@ -23,7 +23,7 @@
 }
 
 // stocked holds edition 5 and version 10 of d and e.
-func stocked() *Larder {
+func stocked() *Cache {
 	l := New()
 	l.Body(5, []byte("five"))
 	l.Hear(0, &waymark.Signed{Edition: 5, Marks: marks(10, true, map[string]uint64{"d": 10, "e": 8}), Parts: []waymark.Part{
@@ -33,7 +33,7 @@
 	return l
 }
 
-func question(l *Larder) (q waymark.Sign) {
+func question(l *Cache) (q waymark.Sign) {
 	l.Question(&q)
 	return q
 }
@@ -46,7 +46,7 @@
 	news := &waymark.Signed{Edition: 7, Bulk: 900, Marks: marks(12, false, map[string]uint64{"d": 12})}
 	for _, c := range []struct {
 		name  string
-		prior func(*Larder)
+		prior func(*Cache)
 		zone  Zone
 		asks  map[string]waymark.Subscribe // merged by the cases below
 		none  bool
@@ -54,17 +54,17 @@
 		{name: "homes", zone: Zone{Name: zone, Self: "me", Near: near}},
 		{name: "alone", zone: Zone{Name: zone, Self: "me", Ready: true}, none: true},
 		{name: "nobody is known", zone: Zone{Name: zone, Self: "me"}, none: true},
-		{name: "the home has just failed", zone: Zone{Name: zone, Self: "me", Near: near}, none: true, prior: func(l *Larder) {
+		{name: "the home has just failed", zone: Zone{Name: zone, Self: "me", Near: near}, none: true, prior: func(l *Cache) {
 			for _, at := range near {
 				l.Asked(-awayMs/2, at, &waymark.Subscribe{}, errors.New("late"))
 			}
 		}},
-		{name: "it failed long ago", zone: Zone{Name: zone, Self: "me", Near: near}, prior: func(l *Larder) {
+		{name: "it failed long ago", zone: Zone{Name: zone, Self: "me", Near: near}, prior: func(l *Cache) {
 			for _, at := range near {
 				l.Asked(-awayMs, at, &waymark.Subscribe{}, errors.New("late"))
 			}
 		}},
-		{name: "the home had less than was announced", zone: Zone{Name: zone, Self: "me", Near: near}, none: true, prior: func(l *Larder) {
+		{name: "the home had less than was announced", zone: Zone{Name: zone, Self: "me", Near: near}, none: true, prior: func(l *Cache) {
 			for _, at := range near {
 				l.Asked(0, at, &waymark.Subscribe{Parts: map[string]uint64{"d": 11}}, nil)
 			}
@@ -197,7 +197,7 @@
 	half.Stock(0, []waymark.Part{{Destination: "d", Version: 11}})
 	for _, c := range []struct {
 		name  string
-		to    *Larder
+		to    *Cache
 		body  bool
 		parts int
 		heard uint64
@@ -225,7 +225,7 @@
 	// The order for copies is lent, and never goes back.
 	lender.Hear(0, &waymark.Signed{Shadow: 7, Order: []byte("seven")})
 	lender.Hear(0, &waymark.Signed{Shadow: 6, Order: []byte("six")})
-	for _, late := range []*Larder{New(), stocked()} {
+	for _, late := range []*Cache{New(), stocked()} {
 		offer, h := lender.Offer(), late.Held()
 		assert.Assert(t, late.Exceeds(&offer))
 		give, some := lender.Lend(0, &h)
--- a/internal/larder/scale_bench_test.go
+++ b/internal/configcache/scale_bench_test.go
@@ -1,4 +1,4 @@
-package larder
+package configcache
 
 import (
 	"fmt"
@@ -42,7 +42,7 @@
 		b.Run(fmt.Sprintf("change/%d", d), func(b *testing.B) {
 			for v := uint64(2); b.Loop(); v++ {
 				l.Hear(0, &waymark.Signed{Marks: &waymark.Marks{Version: v + l.heard, Behind: map[string]uint64{"service-1": 0}},
-					Parts: []waymark.Part{{Destination: "service-1", Version: v + l.heard, Since: l.shelves["service-1"].have, Workers: []waymark.Worker{{ID: "i-x", Addr: "10.9.9.9:1"}}}}})
+					Parts: []waymark.Part{{Destination: "service-1", Version: v + l.heard, Since: l.services["service-1"].have, Workers: []waymark.Worker{{ID: "i-x", Addr: "10.9.9.9:1"}}}}})
 			}
 		})
 		runtime.KeepAlive(l)
--- a/internal/larder/struck_test.go
+++ b/internal/configcache/struck_test.go
@@ -1,4 +1,4 @@
-package larder
+package configcache
 
 import (
 	"math/rand/v2"
@@ -25,7 +25,7 @@
 }
 
 // used is the workers that requests may be sent to.
-func used(l *Larder) (ids []string) {
+func used(l *Cache) (ids []string) {
 	for _, w := range l.Workers(0, "d") {
 		if !w.Closing {
 			ids = append(ids, w.ID)
--- a/internal/warden/warden.go
+++ b/internal/election/election.go
@@ -1,4 +1,4 @@
-// Package warden settles which bothy has which duty. A duty is won by ballots among the bothies
+// Package election settles which bothy has which duty. A duty is won by ballots among the bothies
 // that the core's view names, and held under a lease that is asked for again and again.
 //
 // No two bothies ever hold a duty at the same real time, whatever is lost, delayed or doubled:
@@ -12,7 +12,7 @@
 //   - Majorities of two electorates need not have a voter in common. An electorate is therefore
 //     trusted only for a time after it was last confirmed, and who stands under a new one also
 //     needs the majorities of older ones that others may still trust.
-package warden
+package election
 
 import (
 	"maps"
@@ -31,8 +31,8 @@
 	// trustLeases is how many leases an electorate is trusted after it was confirmed. A change of
 	// view may take 2 s, and the duties should outlast it.
 	trustLeases = 2
-	// roundPart of a lease is how long a candidate waits for voices before it frees them, where the
-	// voters are near; else farParts of the time that a majority's voices take, up to roundMost of it.
+	// roundPart of a lease is how long a candidate waits for votes before it frees them, where the
+	// voters are near; else farParts of the time that a majority's votes take, up to roundMost of it.
 	roundPart = 0.2
 	farParts  = 1.5
 	roundMost = 0.6
@@ -40,7 +40,7 @@
 	ageless = 1e9
 	// spreadMs is how much later a bothy stands for each duty that it has or stands for.
 	spreadMs = 120
-	// shuffleMs bounds the chance part of waiting, which keeps candidates from splitting the voices.
+	// shuffleMs bounds the chance part of waiting, which keeps candidates from splitting the votes.
 	shuffleMs = 150
 )
 
@@ -48,13 +48,13 @@
 type Kind uint8
 
 const (
-	// Hail says that its sender is there, and what it holds.
-	Hail Kind = iota + 1
-	// Ballot asks for a voice; a holder's renewals are ballots of the same term.
+	// Announce says that its sender is there, and what it holds.
+	Announce Kind = iota + 1
+	// Ballot asks for a vote; a holder's renewals are ballots of the same term.
 	Ballot
-	// Voice answers a ballot.
-	Voice
-	// Free gives voices back that the sender no longer counts on.
+	// Vote answers a ballot.
+	Vote
+	// Free gives votes back that the sender no longer counts on.
 	Free
 )
 
@@ -66,15 +66,15 @@
 	To       string   `cbor:"3,keyasint,omitempty"`
 	Duty     string   `cbor:"4,keyasint,omitempty"`
 	Term     uint64   `cbor:"5,keyasint,omitempty"`
-	Life     uint64   `cbor:"6,keyasint,omitempty"` // of the candidate's process, which a Voice echoes
-	Round    uint64   `cbor:"7,keyasint,omitempty"` // counts the candidate's asking, which a Voice echoes
+	Life     uint64   `cbor:"6,keyasint,omitempty"` // of the candidate's process, which a Vote echoes
+	Round    uint64   `cbor:"7,keyasint,omitempty"` // counts the candidate's asking, which a Vote echoes
 	Yes      bool     `cbor:"8,keyasint,omitempty"`
-	WaitMs   float64  `cbor:"9,keyasint,omitempty"`  // of a Voice that is no: how long the voter is bound
-	Seen     uint64   `cbor:"10,keyasint,omitempty"` // of a Voice: the highest term the voter knows of
-	VacantMs float64  `cbor:"11,keyasint,omitempty"` // of a Voice that is yes: how long the voter has surely not been bound to another
-	IdleMs   float64  `cbor:"12,keyasint,omitempty"` // of a Voice: how long the voter itself has surely not held the duty
-	Held     []Tenure `cbor:"13,keyasint,omitempty"` // of a Hail
-	Terms    []Tenure `cbor:"14,keyasint,omitempty"` // of a Hail: the highest term heard of each duty, so that terms rise though voters change
+	WaitMs   float64  `cbor:"9,keyasint,omitempty"`  // of a Vote that is no: how long the voter is bound
+	Seen     uint64   `cbor:"10,keyasint,omitempty"` // of a Vote: the highest term the voter knows of
+	VacantMs float64  `cbor:"11,keyasint,omitempty"` // of a Vote that is yes: how long the voter has surely not been bound to another
+	IdleMs   float64  `cbor:"12,keyasint,omitempty"` // of a Vote: how long the voter itself has surely not held the duty
+	Held     []Tenure `cbor:"13,keyasint,omitempty"` // of a Announce
+	Terms    []Tenure `cbor:"14,keyasint,omitempty"` // of a Announce: the highest term heard of each duty, so that terms rise though voters change
 }
 
 // Tenure is a duty held in a term. VacantMs is, where it was won, for how long before that nobody
@@ -122,14 +122,14 @@
 // duty is what a bothy knows about a duty, as a voter and as a candidate.
 type duty struct {
 	// The voter's side.
-	to         string // who has the voice
+	to         string // who has the vote
 	toLife     uint64
-	given      uint64 // the term the voice was last given in
+	given      uint64 // the term the vote was last given in
 	until      float64
-	others     float64 // when the last voice given to another than who has it now was over
+	others     float64 // when the last vote given to another than who has it now was over
 	freed      bool
 	ended      map[string]ended // by candidate
-	bound      bool             // the voice wasn't to be given when last looked at
+	bound      bool             // the vote wasn't to be given when last looked at
 	seen       uint64           // the highest term heard of
 	holder     string           // by its own word
 	holderTerm uint64
@@ -150,7 +150,7 @@
 }
 
 // ended is the last term that a candidate has given back. Its ballots may come after that, and
-// would bind the voice for a lease to one that doesn't count it.
+// would bind the vote for a lease to one that doesn't count it.
 type ended struct {
 	life, term uint64
 }
@@ -165,27 +165,27 @@
 
 // Machine is one bothy's part. It isn't safe for use by several goroutines.
 type Machine struct {
-	self     string
-	life     uint64
-	lease    float64
-	trust    float64
-	silent   float64 // gives no voice before
-	open     float64 // doesn't stand before
-	alone    float64 // since when nobody trusts any other electorate than the newest
-	first    bool
-	stepped  bool
-	earlier  []string // the electorate that an earlier life knew
-	epoch    uint64   // and its number; 0 where that is not known
-	resigned bool     // stands no more
-	chance   *rand.Rand
-	names    []string // of duties, sorted
-	duties   map[string]*duty
-	councils []council // oldest first
-	heard    map[string]float64
-	hailed   float64
-	round    uint64
-	asked    map[uint64]float64 // when rounds were opened, those given up among them
-	takes    map[string]float64 // how long a voter's voice takes to come
+	self      string
+	life      uint64
+	lease     float64
+	trust     float64
+	silent    float64 // gives no vote before
+	open      float64 // doesn't stand before
+	alone     float64 // since when nobody trusts any other electorate than the newest
+	first     bool
+	stepped   bool
+	earlier   []string // the electorate that an earlier life knew
+	epoch     uint64   // and its number; 0 where that is not known
+	resigned  bool     // stands no more
+	chance    *rand.Rand
+	names     []string // of duties, sorted
+	duties    map[string]*duty
+	councils  []council // oldest first
+	heard     map[string]float64
+	announced float64
+	round     uint64
+	asked     map[uint64]float64 // when rounds were opened, those given up among them
+	takes     map[string]float64 // how long a voter's vote takes to come
 }
 
 // New makes the machine of one process. The seed must be drawn anew by each process, since it
@@ -197,12 +197,12 @@
 	}
 	m := &Machine{self: self, lease: leaseMs, trust: trustLeases * leaseMs, silent: now + leaseMs, first: first,
 		chance: rand.New(rand.NewPCG(seed, xxh3.HashString(self))), duties: map[string]*duty{}, heard: map[string]float64{},
-		hailed: now - leaseMs, asked: map[uint64]float64{}, takes: map[string]float64{}}
+		announced: now - leaseMs, asked: map[uint64]float64{}, takes: map[string]float64{}}
 	m.life = m.chance.Uint64()
 	if first {
 		m.silent = now
 	}
-	others := m.silent // an earlier life may have given a voice right before this one's start
+	others := m.silent // an earlier life may have given a vote right before this one's start
 	if first {
 		others = now - ageless
 	}
@@ -390,7 +390,7 @@
 	return len(m.councils) > 0
 }
 
-// may tells whether this bothy may ask for voices now.
+// may tells whether this bothy may ask for votes now.
 func (m *Machine) may(now float64) bool {
 	if len(m.councils) == 0 || now < m.open {
 		return false
@@ -416,7 +416,7 @@
 	}
 }
 
-// drop ends what is held or stood for, and gives the voices back: from here on none of them is
+// drop ends what is held or stood for, and gives the votes back: from here on none of them is
 // counted, so they are free at once.
 func (m *Machine) drop(now float64, name string, out *Out) {
 	d := m.duties[name]
@@ -460,7 +460,7 @@
 		}
 	}
 	for _, id := range m.peers() {
-		out.Send = append(out.Send, Message{Kind: Hail, From: m.self, To: id})
+		out.Send = append(out.Send, Message{Kind: Announce, From: m.self, To: id})
 	}
 }
 
@@ -469,8 +469,8 @@
 		return
 	}
 	m.heard[g.From] = now
-	if g.Kind == Hail {
-		m.hail(now, g)
+	if g.Kind == Announce {
+		m.announce(now, g)
 		return
 	}
 	d := m.duties[g.Duty]
@@ -481,7 +481,7 @@
 	case Ballot:
 		m.yield(now, d, g, out)
 		out.Send = append(out.Send, m.vote(now, d, g))
-	case Voice:
+	case Vote:
 		m.count(now, d, g, out)
 	case Free:
 		m.free(now, g)
@@ -492,7 +492,7 @@
 	}
 }
 
-func (m *Machine) hail(now float64, g Message) {
+func (m *Machine) announce(now float64, g Message) {
 	for _, d := range m.duties {
 		if d.holder == g.From {
 			d.holder = ""
@@ -511,7 +511,7 @@
 }
 
 // yield ends this bothy's own standing before a rival's that goes first, or two that split the
-// voices would both wait out their rounds. Its term was never held, so the rival may have it.
+// votes would both wait out their rounds. Its term was never held, so the rival may have it.
 func (m *Machine) yield(now float64, d *duty, g Message, out *Out) {
 	if !d.standing || g.Term < d.term || g.Term == d.term && rank(g, g.From) < rank(g, m.self) {
 		return
@@ -528,7 +528,7 @@
 // vote answers a ballot.
 func (m *Machine) vote(now float64, d *duty, g Message) Message {
 	d.seen = max(d.seen, g.Term)
-	answer := Message{Kind: Voice, From: m.self, To: g.From, Duty: g.Duty, Term: g.Term, Life: g.Life, Round: g.Round}
+	answer := Message{Kind: Vote, From: m.self, To: g.From, Duty: g.Duty, Term: g.Term, Life: g.Life, Round: g.Round}
 	mine := d.to == g.From && d.toLife == g.Life
 	last := d.ended[g.From]
 	switch {
@@ -553,7 +553,7 @@
 	return answer
 }
 
-// free gives a voice back. The term stays used: a ballot of it that comes later gets no voice.
+// free gives a vote back. The term stays used: a ballot of it that comes later gets no vote.
 func (m *Machine) free(now float64, g Message) {
 	d := m.duties[g.Duty]
 	if d.holder == g.From && d.holderTerm <= g.Term {
@@ -569,7 +569,7 @@
 	d.until = min(d.until, now)
 }
 
-// time notes how long a voice took, also where nobody waits for it any more: a voter that is far
+// time notes how long a vote took, also where nobody waits for it any more: a voter that is far
 // away would else never be waited for.
 func (m *Machine) time(now float64, g Message) {
 	at, ok := m.asked[g.Round]
@@ -583,7 +583,7 @@
 	m.takes[g.From] = took
 }
 
-// patience is how long to wait for the voices of a round.
+// patience is how long to wait for the votes of a round.
 func (m *Machine) patience() float64 {
 	var takes []float64
 	ids := m.councils[len(m.councils)-1].ids
@@ -600,7 +600,7 @@
 	return min(wait, roundMost*m.lease)
 }
 
-// count takes a voice.
+// count takes a vote.
 func (m *Machine) count(now float64, d *duty, g Message, out *Out) {
 	m.time(now, g)
 	d.seen = max(d.seen, g.Seen)
@@ -639,13 +639,13 @@
 		d.held, d.standing, d.right = true, false, right
 		d.won, d.vacant = now, vacant
 		out.Won = append(out.Won, Tenure{Duty: name, Term: d.term, VacantMs: vacant})
-		m.hailed = now - m.lease
+		m.announced = now - m.lease
 	}
 	d.right = max(d.right, right)
 }
 
 // vacant is for how long the duty that is being won has surely been nobody's. Who held it had
-// voices of a majority, and one of those voters is in ours: so the least that ours tell is safe.
+// votes of a majority, and one of those voters is in ours: so the least that ours tell is safe.
 func (m *Machine) vacant(now float64, d *duty, r *round) float64 {
 	vacant := min(now-d.lost, now-m.alone)
 	for _, ms := range r.vacant {
@@ -687,7 +687,7 @@
 				m.drop(now, name, out)
 			}
 		case now < d.until, now < m.silent, !may:
-			// Somebody has this bothy's own voice, or it has none to give yet, or sees no majority. All
+			// Somebody has this bothy's own vote, or it has none to give yet, or sees no majority. All
 			// that wait for the same end draw anew then, or they would stand at the same moment.
 			d.bound = true
 		case d.bound:
@@ -701,25 +701,25 @@
 			m.ask(now, name, d, out)
 		}
 	}
-	if now-m.hailed >= m.lease/3 {
-		m.hailed = now
-		hail := Message{Kind: Hail, From: m.self}
+	if now-m.announced >= m.lease/3 {
+		m.announced = now
+		announce := Message{Kind: Announce, From: m.self}
 		for _, name := range m.names {
 			if seen := m.duties[name].seen; seen > 0 {
-				hail.Terms = append(hail.Terms, Tenure{Duty: name, Term: seen})
+				announce.Terms = append(announce.Terms, Tenure{Duty: name, Term: seen})
 			}
 			if term, ok := m.Holds(now, name); ok {
-				hail.Held = append(hail.Held, Tenure{Duty: name, Term: term})
+				announce.Held = append(announce.Held, Tenure{Duty: name, Term: term})
 			}
 		}
 		for _, id := range m.peers() {
-			hail.To = id
-			out.Send = append(out.Send, hail)
+			announce.To = id
+			out.Send = append(out.Send, announce)
 		}
 	}
 }
 
-// ask opens a round, with this bothy's own voice first.
+// ask opens a round, with this bothy's own vote first.
 func (m *Machine) ask(now float64, name string, d *duty, out *Out) {
 	m.round++
 	d.asked, m.asked[m.round] = now, now
--- a/internal/warden/warden_test.go
+++ b/internal/election/election_test.go
@@ -1,4 +1,4 @@
-package warden
+package election
 
 import (
 	"testing"
@@ -10,9 +10,9 @@
 	return Event{Kind: Heard, Message: Message{Kind: Ballot, From: from, To: "v", Duty: "roster", Term: term, Life: life, Round: round}}
 }
 
-func voice(o Out) Message {
+func vote(o Out) Message {
 	for _, g := range o.Send {
-		if g.Kind == Voice {
+		if g.Kind == Vote {
 			return g
 		}
 	}
@@ -36,19 +36,19 @@
 		turns []turn
 	}{
 		{"one at a time", true, []turn{{0, ballot("a", 1, 1, 1), true}, {1499, ballot("b", 1, 2, 1), false}, {1500, ballot("b", 1, 3, 1), true}}},
-		{"no voice for a lease after a start", false, []turn{{1499, ballot("a", 1, 1, 1), false}, {1500, ballot("a", 1, 1, 1), true}}},
+		{"no vote for a lease after a start", false, []turn{{1499, ballot("a", 1, 1, 1), false}, {1500, ballot("a", 1, 1, 1), true}}},
 		{"a renewal counts anew", true, []turn{{0, ballot("a", 1, 1, 1), true}, {500, ballot("a", 1, 1, 2), true}, {1999, ballot("b", 1, 2, 1), false}}},
 		{"terms rise", true, []turn{{0, ballot("a", 1, 5, 1), true}, {2000, ballot("b", 1, 5, 1), false}, {2000, ballot("b", 1, 4, 1), false}, {2000, ballot("b", 1, 6, 1), true}}},
 		{"another life of the holder waits", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, ballot("a", 2, 2, 1), false}}},
 		{"given back", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, free("a", 1, 1), false}, {110, ballot("b", 1, 2, 1), true}}},
-		{"a ballot that comes after its voice was given back", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, free("a", 1, 1), false}, {110, ballot("a", 1, 1, 1), false}}},
+		{"a ballot that comes after its vote was given back", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, free("a", 1, 1), false}, {110, ballot("a", 1, 1, 1), false}}},
 		{"only its own is given back", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, free("b", 1, 1), false}, {100, free("a", 2, 1), false}, {110, ballot("b", 1, 2, 1), false}}},
 		{"a holder goes on though a higher term was asked for", true, []turn{{0, ballot("a", 1, 1, 1), true}, {100, ballot("b", 1, 9, 1), false}, {500, ballot("a", 1, 1, 2), true}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := New("v", 1, 0, 0, c.first, "roster")
 			for i, x := range c.turns {
-				g := voice(m.Step(x.now, x.e))
+				g := vote(m.Step(x.now, x.e))
 				assert.Equal(t, g.Yes, x.want, "turn %d", i)
 				if x.e.Message.Kind == Ballot {
 					assert.Equal(t, g.Round, x.e.Message.Round)
@@ -64,7 +64,7 @@
 	m := New("a", 7, 0, 0, true, "roster")
 	m.Electorate(0, 0, []string{"a", "b", "c"}, 1, 0)
 	for now := 0.0; now < 1000; now += 20 {
-		for _, g := range m.Step(now, Event{Kind: Heard, Message: Message{Kind: Hail, From: "b", To: "a"}}).Send {
+		for _, g := range m.Step(now, Event{Kind: Heard, Message: Message{Kind: Announce, From: "b", To: "a"}}).Send {
 			if g.Kind == Ballot {
 				return m, g, now
 			}
@@ -75,7 +75,7 @@
 }
 
 func yes(g Message, from string) Event {
-	return Event{Kind: Heard, Message: Message{Kind: Voice, From: from, To: "a", Duty: g.Duty, Term: g.Term, Life: g.Life, Round: g.Round, Yes: true}}
+	return Event{Kind: Heard, Message: Message{Kind: Vote, From: from, To: "a", Duty: g.Duty, Term: g.Term, Life: g.Life, Round: g.Round, Yes: true}}
 }
 
 func TestARightCountsFromTheAsking(t *testing.T) {
@@ -106,7 +106,7 @@
 		assert.Equal(t, len(m.Step(asked+50, e).Won), 0, name)
 	}
 	m, g, asked := candidate(t)
-	m.Step(asked+400, Event{Kind: Tick}) // it has given up, and its voices are free
+	m.Step(asked+400, Event{Kind: Tick}) // it has given up, and its votes are free
 	assert.Equal(t, len(m.Step(asked+410, yes(g, "b")).Won), 0)
 }
 
@@ -133,7 +133,7 @@
 		for now := 20.0; now < 6000 && stood == 0; now += 20 {
 			m.Electorate(now, now-10, c.ids, c.edition, 0)
 			if c.hears != "" {
-				m.Step(now, Event{Kind: Heard, Message: Message{Kind: Hail, From: c.hears}})
+				m.Step(now, Event{Kind: Heard, Message: Message{Kind: Announce, From: c.hears}})
 			}
 			m.Step(now, Event{Kind: Tick})
 			if d := m.duties["roster"]; d.standing || d.held {
--- a/internal/warden/scale_bench_test.go
+++ b/internal/election/scale_bench_test.go
@@ -1,4 +1,4 @@
-package warden
+package election
 
 import (
 	"fmt"
--- a/internal/warden/sim_test.go
+++ b/internal/election/sim_test.go
@@ -1,4 +1,4 @@
-package warden
+package election
 
 import (
 	"fmt"
@@ -350,7 +350,7 @@
 	}
 }
 
-// Voices that take longer than a round is waited for at first are learned from though they come
+// Votes that take longer than a round is waited for at first are learned from though they come
 // late: a third of a lease there and back is a third of the world.
 func TestVotersThatAreFarAway(t *testing.T) {
 	for seed := range uint64(40) {
@@ -498,7 +498,7 @@
 	}
 }
 
-// TestVotersThatRestartVouchForNothing: the holder lives on while those who gave it their voices are
+// TestVotersThatRestartVouchForNothing: the holder lives on while those who gave it their votes are
 // started anew, right after they did and at the same moment.
 func TestVotersThatRestartVouchForNothing(t *testing.T) {
 	for seed := range uint64(40) {
--- a/internal/cellar/folders.go
+++ b/internal/recordlog/folders.go
@@ -1,4 +1,4 @@
-package cellar
+package recordlog
 
 import (
 	"errors"
--- a/internal/cellar/cellar.go
+++ b/internal/recordlog/recordlog.go
@@ -1,4 +1,4 @@
-// Package cellar keeps records on disk for a store that must not lose what it has synced. The
+// Package recordlog keeps records on disk for a store that must not lose what it has synced. The
 // log is github.com/tidwall/wal; what that library leaves open is done here.
 //
 // A generation is a folder with a log of its own. A call of Append is one entry, one write and
@@ -20,7 +20,7 @@
 // the last segment in memory, and the one before until its cache is cleared (segments are short, and
 // it is cleared); it takes no file layer (tests put devices that refuse in place of segments, and note
 // the steps on folders).
-package cellar
+package recordlog
 
 import (
 	"crypto/rand"
@@ -41,9 +41,9 @@
 )
 
 const (
-	magic    = "cellar\x00\x02"
-	headBody = 32 // magic, generation, entries that were synced before the name was given, chance
-	frameLen = 28 // body's length, index, body's hash, hash of these three
+	magic    = "cellar\x00\x02" // on disk, by the former name of the package
+	headBody = 32               // magic, generation, entries that were synced before the name was given, chance
+	frameLen = 28               // body's length, index, body's hash, hash of these three
 	named    = "generation-"
 	former   = "journal-" // a file of the format before the library
 	passing  = ".new"
@@ -55,11 +55,11 @@
 
 // ErrStopped answers every call after one has failed: what is on disk is not known then, and
 // a second sync can succeed without having written what the first could not.
-var ErrStopped = errors.New("cellar: the journal has stopped")
+var ErrStopped = errors.New("recordlog: the journal has stopped")
 
 // ErrKept says that Replace has failed before the new generation had its name: the one before it
 // holds, and the journal goes on.
-var ErrKept = errors.New("cellar: the records before are kept")
+var ErrKept = errors.New("recordlog: the records before are kept")
 
 // ErrDamaged says that bytes which had been synced are not what was written. Nothing is cut:
 // whole entries behind them would be lost.
@@ -69,14 +69,14 @@
 }
 
 func (e *ErrDamaged) Error() string {
-	return fmt.Sprintf("cellar: %s is damaged at byte %d", e.File, e.At)
+	return fmt.Sprintf("recordlog: %s is damaged at byte %d", e.File, e.At)
 }
 
 // ErrFormer says that a folder holds a journal of the format before this one, which is not read.
 type ErrFormer struct{ File string }
 
 func (e *ErrFormer) Error() string {
-	return fmt.Sprintf("cellar: %s is a journal of an earlier format, which this version does not read", e.File)
+	return fmt.Sprintf("recordlog: %s is a journal of an earlier format, which this version does not read", e.File)
 }
 
 // Journal is an open journal. It belongs to one goroutine, and its folder to one journal.
@@ -467,7 +467,7 @@
 	return int64(binary.PutUvarint(b[:], uint64(frame))) + frame
 }
 
-var errTooLong = errors.New("cellar: records are too long for a frame")
+var errTooLong = errors.New("recordlog: records are too long for a frame")
 
 // tooLong leaves room for a record's own length.
 func tooLong(n uint64) bool { return n > math.MaxUint32-binary.MaxVarintLen64 }
--- a/internal/cellar/cellar_test.go
+++ b/internal/recordlog/recordlog_test.go
@@ -1,4 +1,4 @@
-package cellar
+package recordlog
 
 import (
 	"bytes"
@@ -20,7 +20,7 @@
 // TestMain has the folders in memory: syncs are then quick, and losses are played by copying.
 func TestMain(m *testing.M) {
 	const memory = "/dev/shm"
-	if dir, err := os.MkdirTemp(memory, "cellar"); err == nil {
+	if dir, err := os.MkdirTemp(memory, "recordlog"); err == nil {
 		_ = os.Setenv("TMPDIR", dir)
 		code := m.Run()
 		_ = os.RemoveAll(dir)
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cellar"
+	"foxwood/internal/recordlog"
 )
 
 // A disk that can't be written (no room, a fault) is lost: the machine that stepped ahead of it is
@@ -30,7 +30,7 @@
 	mendEvery = 500 * time.Millisecond
 )
 
-// journal is the disk: a cellar's, or in tests one that fails.
+// journal is the disk: a recordlog's, or in tests one that fails.
 type journal interface {
 	Append(records [][]byte) error
 	Replace(records [][]byte) error
@@ -82,8 +82,8 @@
 
 // damaged says whether what was read is not what was written.
 func damaged(err error) bool {
-	var bytes *cellar.ErrDamaged
-	var format *cellar.ErrFormer
+	var bytes *recordlog.ErrDamaged
+	var format *recordlog.ErrFormer
 	var record *errRecord
 	return errors.As(err, &bytes) || errors.As(err, &format) || errors.As(err, &record)
 }
@@ -297,7 +297,7 @@
 		s.counts.Compacted++
 		s.unkept, s.size = false, s.journal.Size()
 		return nil
-	case !errors.Is(err, cellar.ErrKept):
+	case !errors.Is(err, recordlog.ErrKept):
 		return fmt.Errorf("disk: %w", err)
 	}
 	s.counts.Uncompacted++
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -18,7 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cellar"
+	"foxwood/internal/recordlog"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -37,7 +37,7 @@
 
 // faulty is a machine's own disk, whose calls fail as long as it is told so.
 type faulty struct {
-	*cellar.Journal
+	*recordlog.Journal
 	how  *fault
 	dir  string
 	dead error
@@ -59,7 +59,7 @@
 	if t := f.open.Load(); t != nil {
 		return nil, nil, t.err
 	}
-	j, records, err := cellar.Open(dir)
+	j, records, err := recordlog.Open(dir)
 	return &faulty{Journal: j, how: f, dir: dir}, records, err
 }
 
@@ -76,7 +76,7 @@
 	if t == nil {
 		return d.Journal.Append(records)
 	}
-	d.dead = fmt.Errorf("%w: %w", cellar.ErrStopped, t.err)
+	d.dead = fmt.Errorf("%w: %w", recordlog.ErrStopped, t.err)
 	if !t.torn && !t.after {
 		return d.dead
 	}
@@ -107,14 +107,14 @@
 	switch {
 	case t == nil:
 		return d.Journal.Replace(records)
-	case errors.Is(t.err, cellar.ErrKept):
+	case errors.Is(t.err, recordlog.ErrKept):
 		return t.err
 	case t.after:
 		if err := d.Journal.Replace(records); err != nil {
 			return err
 		}
 	}
-	d.dead = fmt.Errorf("%w: %w", cellar.ErrStopped, t.err)
+	d.dead = fmt.Errorf("%w: %w", recordlog.ErrStopped, t.err)
 	return d.dead
 }
 
@@ -205,7 +205,7 @@
 			enter(t, s, configuration(1))
 			confirm(t, s, waymark.Confirm{})
 			f.add.Store(&c.is)
-			f.whole.Store(&trouble{err: fmt.Errorf("%w: %w", cellar.ErrKept, c.is.err)})
+			f.whole.Store(&trouble{err: fmt.Errorf("%w: %w", recordlog.ErrKept, c.is.err)})
 			_, err := s.enter(t.Context(), configuration(2))
 			assert.Equal(t, traverse.KindOf(err), traverse.Unknown, "it may be on the disk")
 			untilSaid(t, s, "disk lost")
@@ -327,7 +327,7 @@
 	assert.NilError(t, err)
 	bad[5] ^= 1
 	assert.NilError(t, os.WriteFile(names[0], bad, 0o600))
-	var bytes *cellar.ErrDamaged
+	var bytes *recordlog.ErrDamaged
 	err = s.mend(t.Context())
 	assert.Assert(t, errors.As(err, &bytes), "%v", err)
 	_, err = New(set, zerolog.Nop())
@@ -341,7 +341,7 @@
 	f := &fault{}
 	s, log := f.with(t, settings(t))
 	end := run(t, s)
-	f.whole.Store(&trouble{err: fmt.Errorf("%w: %w", cellar.ErrKept, unix.ENOSPC)})
+	f.whole.Store(&trouble{err: fmt.Errorf("%w: %w", recordlog.ErrKept, unix.ENOSPC)})
 	big := func(edition uint64) waymark.Enter {
 		q := configuration(edition)
 		q.Change.Body = make([]byte, 5<<20)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,7 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cellar"
+	"foxwood/internal/recordlog"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -81,7 +81,7 @@
 
 // New opens the disk and goes on from what is on it.
 func New(set *trailhead.Settings, log zerolog.Logger) (*Store, error) {
-	return newOn(func(dir string) (journal, [][]byte, error) { return cellar.Open(dir) }, set, log)
+	return newOn(func(dir string) (journal, [][]byte, error) { return recordlog.Open(dir) }, set, log)
 }
 
 func newOn(open opener, set *trailhead.Settings, log zerolog.Logger) (*Store, error) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/cellar"
+	"foxwood/internal/recordlog"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -21,10 +21,10 @@
 // patience is how long anything is waited for: only what never comes takes that long.
 const patience = 60 * time.Second
 
-// disk is the machine's own, with a hook before each sync: no call of a cellar's returns before
+// disk is the machine's own, with a hook before each sync: no call of a recordlog's returns before
 // its sync, which its own tests show.
 type disk struct {
-	*cellar.Journal
+	*recordlog.Journal
 	sync func() error
 }
 
@@ -60,7 +60,7 @@
 func open(t *testing.T, set *trailhead.Settings, sync func() error) *Store {
 	t.Helper()
 	s, err := newOn(func(dir string) (journal, [][]byte, error) {
-		j, records, err := cellar.Open(dir)
+		j, records, err := recordlog.Open(dir)
 		return &disk{j, sync}, records, err
 	}, set, zerolog.Nop())
 	assert.NilError(t, err)
@@ -228,7 +228,7 @@
 	three := []cairn.Ident{self, {Addr: "127.0.0.2:1", Disk: "two"}, {Addr: "127.0.0.3:1", Disk: "three"}}
 	batch, err := encode([]cairn.Record{{View: &cairn.ViewRecord{View: cairn.View{No: asked.View.No + 1, Chain: three, Core: three}, Whole: true}}})
 	assert.NilError(t, err)
-	journal, _, err := cellar.Open(set.ArchiveDir)
+	journal, _, err := recordlog.Open(set.ArchiveDir)
 	assert.NilError(t, err)
 	assert.NilError(t, journal.Append(batch))
 	assert.NilError(t, journal.Close())
--- a/internal/switchback/relay.go
+++ b/internal/switchback/relay.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
 	"foxwood/internal/timetable"
 	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
@@ -37,17 +37,17 @@
 type relay struct {
 	start time.Time
 
-	mu       sync.Mutex
-	news     chan struct{} // closed at news
-	larder   *larder.Larder
-	table    *timetable.Timetable
-	near     []string
-	knew     map[string]neighbour
-	count    int // of members
-	peers    map[string]*traverse.Peer
-	lost     float64 // since when no sign was good, 0 where the last one was
-	lendAt   float64
-	promised float64 // until when a lender is waited for
+	mu          sync.Mutex
+	news        chan struct{} // closed at news
+	configcache *configcache.Cache
+	table       *timetable.Timetable
+	near        []string
+	knew        map[string]neighbour
+	count       int // of members
+	peers       map[string]*traverse.Peer
+	lost        float64 // since when no sign was good, 0 where the last one was
+	lendAt      float64
+	promised    float64 // until when a lender is waited for
 }
 
 // neighbour is one that was a ready member of the zone.
@@ -57,7 +57,7 @@
 }
 
 func newRelay() *relay {
-	return &relay{start: time.Now(), news: make(chan struct{}), larder: larder.New(), knew: map[string]neighbour{},
+	return &relay{start: time.Now(), news: make(chan struct{}), configcache: configcache.New(), knew: map[string]neighbour{},
 		peers: map[string]*traverse.Peer{}}
 }
 
@@ -95,7 +95,7 @@
 // hear takes a bothy's news.
 func (r *relay) hear(a *waymark.Signed) {
 	r.do(func(now float64) {
-		r.larder.Hear(now, a)
+		r.configcache.Hear(now, a)
 		r.changed()
 		if a.Crowd != nil {
 			r.crowd(now, a.Crowd)
@@ -154,7 +154,7 @@
 	table.Raw = nil // what is handed on is held packed
 	r := p.relay
 	r.do(func(float64) {
-		if r.larder.Body(table.Edition, packed) {
+		if r.configcache.Body(table.Edition, packed) {
 			r.table = table
 			r.changed()
 		}
@@ -171,7 +171,7 @@
 	peers := map[string]*traverse.Peer{}
 	r.do(func(now float64) {
 		var bulk int
-		asks, bulk = r.larder.Plan(now, larder.Zone{Name: p.set.Zone, Self: p.set.Inner(0), Ready: p.isReady.Load(), Near: r.near})
+		asks, bulk = r.configcache.Plan(now, configcache.Zone{Name: p.set.Zone, Self: p.set.Inner(0), Ready: p.isReady.Load(), Near: r.near})
 		limit = homeWait + min(float64(bulk/homeBulk), homeMore)
 		for at := range asks {
 			peers[at] = r.peer(at)
@@ -188,11 +188,11 @@
 			q.Wait = limit
 			got, err := traverse.Call[waymark.Subscribe, waymark.Subscribed](ctx, peers[at], q)
 			r.do(func(now float64) { // cold times count from now, not from after the reading
-				r.larder.Stock(now, got.Parts)
+				r.configcache.Stock(now, got.Parts)
 				r.changed()
 			})
 			p.hold(got.Body)
-			r.do(func(now float64) { r.larder.Asked(now, at, &q, err) })
+			r.do(func(now float64) { r.configcache.Asked(now, at, &q, err) })
 		})
 	}
 	all.Wait()
@@ -209,8 +209,8 @@
 		var news chan struct{}
 		r.do(func(now float64) {
 			news = r.news
-			if over = over || q.Wait <= 0 || r.isLost(now) || r.larder.Has(&q); over {
-				a = r.larder.Give(now, &q)
+			if over = over || q.Wait <= 0 || r.isLost(now) || r.configcache.Has(&q); over {
+				a = r.configcache.Give(now, &q)
 			}
 		})
 		if over {
@@ -234,15 +234,15 @@
 		if r.table != nil && (p.table == nil || r.table.Edition > p.table.Edition) {
 			p.enforce(r.table)
 		}
-		if evac, zones := r.larder.Evacuated(); evac > p.evac {
-			p.evacuate(evac, zones, r.larder.TakenBack())
+		if evac, zones := r.configcache.Evacuated(); evac > p.evac {
+			p.evacuate(evac, zones, r.configcache.TakenBack())
 			replace = true
 		}
-		p.roster = r.larder.Heard()
-		for name, turn := range r.larder.Turns() {
+		p.roster = r.configcache.Heard()
+		for name, turn := range r.configcache.Turns() {
 			if turn > p.turns[name] {
 				p.turns[name] = turn
-				p.take(name, r.larder.Workers(now, name))
+				p.take(name, r.configcache.Workers(now, name))
 				replace = true
 			}
 		}
@@ -305,7 +305,7 @@
 	r := p.relay
 	to := map[*traverse.Peer]neighbour{}
 	r.do(func(now float64) {
-		if !r.isLost(now) || now < r.lendAt || r.larder.Edition() == 0 {
+		if !r.isLost(now) || now < r.lendAt || r.configcache.Edition() == 0 {
 			return
 		}
 		r.lendAt = now + lendEvery
@@ -325,7 +325,7 @@
 	r := p.relay
 	var offer waymark.Lend
 	r.do(func(float64) {
-		offer = r.larder.Offer()
+		offer = r.configcache.Offer()
 		offer.Place, offer.Count = n.place, r.count
 	})
 	ask, cancel := context.WithTimeout(ctx, lendAsk)
@@ -337,7 +337,7 @@
 	var give waymark.Lend
 	var some bool
 	r.do(func(now float64) {
-		give, some = r.larder.Lend(now, &h)
+		give, some = r.configcache.Lend(now, &h)
 		give.Place, give.Count = n.place, r.count
 	})
 	if !some && (h.Placed || give.Count == 0) {
@@ -357,8 +357,8 @@
 	if o.Given {
 		newer := false
 		r.do(func(now float64) {
-			r.larder.Borrow(now, &o)
-			newer = o.Edition > r.larder.Edition()
+			r.configcache.Borrow(now, &o)
+			newer = o.Edition > r.configcache.Edition()
 			r.changed()
 		})
 		if newer {
@@ -380,9 +380,9 @@
 		placed = p.members > 0
 	})
 	r.do(func(now float64) {
-		h = r.larder.Held()
+		h = r.configcache.Held()
 		h.Placed = placed
-		if !o.Given && r.larder.Exceeds(&o) { // the zone's others offer the same at the same time
+		if !o.Given && r.configcache.Exceeds(&o) { // the zone's others offer the same at the same time
 			if h.Later = now < r.promised; !h.Later {
 				r.promised = now + promiseMost
 			}
--- a/internal/switchback/relay_test.go
+++ b/internal/switchback/relay_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"foxwood/internal/larder"
+	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
 	"foxwood/internal/trailhead"
 	"foxwood/internal/traverse"
@@ -236,5 +236,5 @@
 	assert.Equal(t, h.Edition, uint64(3))
 	h, _ = p.lent(t.Context(), waymark.Lend{Edition: 3})
 	assert.Assert(t, !h.Later, "nothing is lacking")
-	assert.Assert(t, larder.New().Exceeds(&offer))
+	assert.Assert(t, configcache.New().Exceeds(&offer))
 }
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -175,7 +175,7 @@
 // question is what a sign says. On the loop.
 func (p *Proxy) question() waymark.Sign {
 	q := waymark.Sign{Member: p.guest(), Crowd: p.crowd.Mark, Cores: p.coresMark, Wait: signWait}
-	p.relay.do(func(float64) { p.relay.larder.Question(&q) })
+	p.relay.do(func(float64) { p.relay.configcache.Question(&q) })
 	if p.shadow != nil {
 		q.Copies, q.Seats = q.Shadow > 0, p.shadow.seatMark
 	}
--- a/internal/switchback/shadow.go
+++ b/internal/switchback/shadow.go
@@ -141,7 +141,7 @@
 func (s *shadows) learn(a *waymark.Signed, asked float64, moved bool) {
 	var number uint64
 	var body []byte
-	s.p.relay.do(func(float64) { number, body = s.p.relay.larder.Order() })
+	s.p.relay.do(func(float64) { number, body = s.p.relay.configcache.Order() })
 	s.hush()
 	if number > s.number {
 		s.number = number
