Calls keep their names on the wire through renames of packages

The rename of warden to election had changed the name of ballots between registries: those of two versions side by side would not have heard each other's. A test pins the names.

--- a/internal/scree/faults.go
+++ b/internal/scree/faults.go
@@ -319,6 +319,8 @@
 		old: "	if len(own)+len(near) == 0 {", wrong: "	if true {", tests: "TestResolve"},
 	{corner: "directory", name: "it names machines that are leaving", file: "internal/membership/resolve.go",
 		old: "return g.Ready && !g.Leaving && !g.Alone }", wrong: "return g.Ready }", tests: "TestResolve"},
+	{corner: "versions side by side", name: "a message's name goes by its package", file: "internal/election/election.go", in: "internal/bothy",
+		old: "return \"warden.Message\"", wrong: "return \"election.Message\"", tests: "TestCallsKeepTheirNames"},
 	{corner: "first tokens", name: "lives are not kept over a registry's restart", file: "internal/bothy/bothy.go",
 		old: "	b.book.Recall(b.now(), b.lives.kept)\n", wrong: "", tests: "TestFirstTokensOnceOverRestartsOfAll"},
 	{corner: "first tokens", name: "first tokens are allowed before the life is kept", file: "internal/bothy/sessions.go",
--- a/internal/traverse/cuts_test.go
+++ b/internal/traverse/cuts_test.go
@@ -255,7 +255,7 @@
 	for n := 1; n <= 2; n++ {
 		body, err := wire.Marshal(ask{n})
 		assert.NilError(t, err)
-		b, err := encode(frame{ID: uint64(n), Name: nameOf[ask](), Body: body})
+		b, err := encode(frame{ID: uint64(n), Name: NameOf[ask](), Body: body})
 		assert.NilError(t, err)
 		text = append(text, b...)
 		ends[n] = len(text)
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -103,7 +103,18 @@
 	return m
 }()
 
-func nameOf[T any]() string { return reflect.TypeFor[T]().String() }
+// Named is a message whose name on the wire isn't its type's: one whose package was renamed keeps the name by which
+// processes of the version before know it.
+type Named interface{ CallName() string }
+
+// NameOf is the name by which a message of a type is known on the wire.
+func NameOf[T any]() string {
+	var message T
+	if named, ok := any(message).(Named); ok {
+		return named.CallName()
+	}
+	return reflect.TypeFor[T]().String()
+}
 
 // sent counts frames and bytes by the name of their call.
 var sent sync.Map
@@ -203,7 +214,7 @@
 
 // Handle has a server answer questions of a type. All handlers are set before Serve.
 func Handle[Q, A any](s *Server, do func(context.Context, Q) (A, error)) {
-	s.handlers[nameOf[Q]()] = func(ctx context.Context, body cbor.RawMessage) (any, error) {
+	s.handlers[NameOf[Q]()] = func(ctx context.Context, body cbor.RawMessage) (any, error) {
 		var q Q
 		if err := cbor.Unmarshal(body, &q); err != nil {
 			return nil, Errorf(Invalid, "%v", err)
@@ -380,7 +391,7 @@
 		return a, fmt.Errorf("call: %w", err)
 	}
 	got := make(chan frame, 1)
-	id, err := p.put(nameOf[Q](), body, got)
+	id, err := p.put(NameOf[Q](), body, got)
 	if err != nil {
 		return a, err
 	}
@@ -410,7 +421,7 @@
 	if err != nil {
 		return fmt.Errorf("tell: %w", err)
 	}
-	_, err = p.put(nameOf[Q](), body, nil)
+	_, err = p.put(NameOf[Q](), body, nil)
 	return err
 }
 
