--- a/cmd/bothy/main.go
+++ b/cmd/bothy/main.go
@@ -9,16 +9,16 @@
 
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/bothy"
-	"foxwood/internal/signpost"
+	"foxwood/internal/cli"
 	"foxwood/internal/snowline"
-	"foxwood/internal/trailhead"
 )
 
 func main() {
 	var shed snowline.Options
 	var probes float64
-	os.Exit(signpost.Main(signpost.Program{Name: "bothy", Summary: "Keep sessions, workers and duties, and answer outside callers",
+	os.Exit(cli.Main(cli.Program{Name: "bothy", Summary: "Keep sessions, workers and duties, and answer outside callers",
 		Flags: func(f *flag.FlagSet) {
 			shed.Bothies(f)
 			f.Float64Var(&probes, "probes", 0, "workers that are new or cold to probe each second, where this bothy polls the list; at most 20")
@@ -29,7 +29,7 @@
 			}
 			return shed.Check()
 		},
-		Make: func(set *trailhead.Settings, log zerolog.Logger) (signpost.Runner, error) {
+		Make: func(set *bootconfig.Settings, log zerolog.Logger) (cli.Runner, error) {
 			var duties []string
 			if shed.On {
 				duties = append(duties, bothy.DutyLevel)
--- a/cmd/cairn/main.go
+++ b/cmd/cairn/main.go
@@ -6,14 +6,14 @@
 
 	"github.com/rs/zerolog"
 
-	"foxwood/internal/signpost"
+	"foxwood/internal/bootconfig"
+	"foxwood/internal/cli"
 	"foxwood/internal/store"
-	"foxwood/internal/trailhead"
 )
 
 func main() {
-	os.Exit(signpost.Main(signpost.Program{Name: "cairn", Summary: "Keep what operators have ordered, on disk",
-		Make: func(set *trailhead.Settings, log zerolog.Logger) (signpost.Runner, error) {
+	os.Exit(cli.Main(cli.Program{Name: "cairn", Summary: "Keep what operators have ordered, on disk",
+		Make: func(set *bootconfig.Settings, log zerolog.Logger) (cli.Runner, error) {
 			return store.New(set, log)
 		}}))
 }
--- a/internal/trailhead/trailhead.go
+++ b/internal/bootconfig/bootconfig.go
@@ -1,6 +1,6 @@
-// Package trailhead reads the settings file that a process of the system is told by
+// Package bootconfig reads the settings file that a process of the system is told by
 // FOXWOOD_BOOT, and says of each fault which field has it.
-package trailhead
+package bootconfig
 
 import (
 	"bytes"
--- a/internal/trailhead/trailhead_test.go
+++ b/internal/bootconfig/bootconfig_test.go
@@ -1,4 +1,4 @@
-package trailhead
+package bootconfig
 
 import (
 	"strings"
--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -14,15 +14,15 @@
 
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/snowline"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -60,11 +60,11 @@
 
 // Bothy is one registry.
 type Bothy struct {
-	set   *trailhead.Settings
+	set   *bootconfig.Settings
 	log   zerolog.Logger
 	start time.Time
 	clock func() float64 // in the place of the steady clock, where it is set
-	cairn *traverse.Peer
+	cairn *rpc.Peer
 
 	mu        sync.Mutex
 	news      chan struct{} // closed at news
@@ -73,8 +73,8 @@
 	roster    *roster
 	allot     *quota.Allotter
 	slowStart *slowstart.Coordinator
-	peers     map[string]*traverse.Peer // the other bothies
-	zones     map[string]string         // theirs
+	peers     map[string]*rpc.Peer // the other bothies
+	zones     map[string]string    // theirs
 	seeds     []string
 	known     []string           // other bothies that gatekeepers may sign with
 	guests    map[string]float64 // when bothies outside the core last spoke
@@ -127,9 +127,9 @@
 }
 
 // New makes a bothy. It also stands for the duties named.
-func New(set *trailhead.Settings, log zerolog.Logger, duties ...string) *Bothy {
-	b := &Bothy{set: set, log: log, start: time.Now(), cairn: traverse.NewPeer(set.Inner(cairnDock)),
-		news: make(chan struct{}), roster: newRoster(), peers: map[string]*traverse.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, telling: map[string]bool{},
+func New(set *bootconfig.Settings, log zerolog.Logger, duties ...string) *Bothy {
+	b := &Bothy{set: set, log: log, start: time.Now(), cairn: rpc.NewPeer(set.Inner(cairnDock)),
+		news: make(chan struct{}), roster: newRoster(), peers: map[string]*rpc.Peer{}, zones: map[string]string{}, told: map[string]toldWhole{}, telling: map[string]bool{},
 		tellSoon: make(chan struct{}, 1), life: rand.Uint64(),
 		guests: map[string]float64{}}
 	self := set.Inner(bothyDock)
@@ -162,13 +162,13 @@
 }
 
 // Reload takes a settings file that has changed.
-func (b *Bothy) Reload(set *trailhead.Settings) {
+func (b *Bothy) Reload(set *bootconfig.Settings) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setSeeds(set)
 }
 
-func (b *Bothy) setSeeds(set *trailhead.Settings) {
+func (b *Bothy) setSeeds(set *bootconfig.Settings) {
 	b.seeds, b.places = set.Seeds(bothyDock), set.Zones
 	b.electorate()
 }
@@ -201,7 +201,7 @@
 	}
 	for _, addr := range told {
 		if b.peers[addr] == nil {
-			b.peers[addr] = traverse.NewPeer(addr)
+			b.peers[addr] = rpc.NewPeer(addr)
 		}
 	}
 	for addr, p := range b.peers {
@@ -222,17 +222,17 @@
 
 // Serve answers until the context ends.
 func (b *Bothy) Serve(ctx context.Context) error {
-	inner, err := traverse.Listen(b.set.Inner(bothyDock))
+	inner, err := rpc.Listen(b.set.Inner(bothyDock))
 	if err != nil {
 		return err
 	}
-	s := traverse.NewServer()
-	traverse.Handle(s, b.sign)
-	traverse.Handle(s, b.gossiped)
-	traverse.Handle(s, b.askedRoster)
-	traverse.Handle(s, b.draw)
-	traverse.Handle(s, b.balloted)
-	traverse.Handle(s, b.status)
+	s := rpc.NewServer()
+	rpc.Handle(s, b.sign)
+	rpc.Handle(s, b.gossiped)
+	rpc.Handle(s, b.askedRoster)
+	rpc.Handle(s, b.draw)
+	rpc.Handle(s, b.balloted)
+	rpc.Handle(s, b.status)
 	b.serveLevel(ctx, s)
 	if b.probes > 0 {
 		go loop(ctx, probeEvery, nil, b.probe)
@@ -304,7 +304,7 @@
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, b.patience)
 	defer cancel()
-	got, err := traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have, View: view, Recall: have.Seq == 0})
+	got, err := rpc.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have, View: view, Recall: have.Seq == 0})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.Confirms++
@@ -378,7 +378,7 @@
 	mark := b.book.Mark(now)
 	brief, whole := sync.OnceValue(func() membership.Page { return b.book.Brief(now) }), sync.OnceValue(func() membership.Page { return b.book.Tell(now) })
 	type telling struct {
-		to   *traverse.Peer
+		to   *rpc.Peer
 		last toldWhole
 		page membership.Page
 	}
@@ -406,7 +406,7 @@
 			defer cancel()
 			g, p, t := g, x.to, x.last
 			g.Page = x.page
-			h, err := traverse.Call[waymark.Gossip, waymark.Heard](ctx, p, g)
+			h, err := rpc.Call[waymark.Gossip, waymark.Heard](ctx, p, g)
 			b.mu.Lock()
 			delete(b.telling, p.Addr())
 			switch {
@@ -477,14 +477,14 @@
 }
 
 // fetch asks for a roster that is newer than ours.
-func (b *Bothy) fetch(ctx context.Context, p *traverse.Peer, version uint64) {
+func (b *Bothy) fetch(ctx context.Context, p *rpc.Peer, version uint64) {
 	b.mu.Lock()
 	have := b.roster.version
 	b.mu.Unlock()
 	if version <= have {
 		return
 	}
-	r, err := traverse.Call[waymark.AskRoster, waymark.Roster](ctx, p, waymark.AskRoster{Have: have})
+	r, err := rpc.Call[waymark.AskRoster, waymark.Roster](ctx, p, waymark.AskRoster{Have: have})
 	if err != nil {
 		return
 	}
@@ -545,6 +545,6 @@
 	b.mu.Lock()
 	c, members, workers, asked := b.counts, len(b.book.Members(b.now()).Members), len(b.roster.listed), b.now()-b.asked
 	b.mu.Unlock()
-	b.log.Info().Interface("counts", c).Interface("sent", traverse.Sent()).Int("members", members).Int("workers", workers).
+	b.log.Info().Interface("counts", c).Interface("sent", rpc.Sent()).Int("members", members).Int("workers", workers).
 		Float64("tailAskedMs", asked).Msg("figures")
 }
--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -10,13 +10,13 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/configcache"
 	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -136,9 +136,9 @@
 	table, err := timetable.Parse([]byte(configuration))
 	assert.NilError(t, err)
 	for i := range 4 {
-		set := &trailhead.Settings{Station: fmt.Sprint("sorting-", i), IP: fmt.Sprintf("10.%d.0.1", i+1), InnerDocks: []int{7460, 7475},
+		set := &bootconfig.Settings{Station: fmt.Sprint("sorting-", i), IP: fmt.Sprintf("10.%d.0.1", i+1), InnerDocks: []int{7460, 7475},
 			Zone: fmt.Sprint("z", i), Region: fmt.Sprint("r", i/2), FirstRun: true, FirstStations: []string{"10.1.0.1:80", "10.2.0.1:80", "10.3.0.1:80"},
-			Bounds: trailhead.Bounds{TTLMaxS: 5, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaSlack: 20}}
+			Bounds: bootconfig.Bounds{TTLMaxS: 5, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaSlack: 20}}
 		b := New(set, zerolog.Nop())
 		b.clock = func() float64 { return w.now }
 		b.book = membership.New(addrs[i], uint64(i+1), w.now, lapse)
--- a/internal/bothy/cost_test.go
+++ b/internal/bothy/cost_test.go
@@ -11,13 +11,13 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -71,7 +71,7 @@
 		zones += fmt.Sprintf("z%d = \"r%d\"\n", z, z%2)
 	}
 	for i := range costBothies {
-		set, err := trailhead.Parse(fmt.Appendf(nil, "station = \"sorting-%d\"\nip = \"10.9.0.%d\"\nzone = \"z%d\"\nregion = \"r%d\"\n"+
+		set, err := bootconfig.Parse(fmt.Appendf(nil, "station = \"sorting-%d\"\nip = \"10.9.0.%d\"\nzone = \"z%d\"\nregion = \"r%d\"\n"+
 			"innerDocks = [7460, 7475]\nfirstStations = [\"10.9.0.1:1\"]\ntimeBounds = [\"quotaWindowS=5\", \"quotaExcess=0.1\", \"quotaSlack=20\"]\n[zones]\n%s",
 			i, i+1, i%costZones, i%2, zones))
 		if err != nil {
@@ -86,7 +86,7 @@
 	for _, b := range c.bothies {
 		for _, o := range c.bothies {
 			if o != b {
-				b.peers[o.set.Inner(bothyDock)] = traverse.NewPeer(o.set.Inner(bothyDock))
+				b.peers[o.set.Inner(bothyDock)] = rpc.NewPeer(o.set.Inner(bothyDock))
 				b.zones[o.set.Inner(bothyDock)] = o.set.Zone
 			}
 		}
@@ -167,14 +167,14 @@
 
 // core counts a call between two bothies.
 func (c *costRun) core(from, to int, q, a any) {
-	x, y := traverse.Size(q, true), traverse.Size(a, false)
+	x, y := rpc.Size(q, true), rpc.Size(a, false)
 	c.out[from], c.in[to], c.out[to], c.in[from] = c.out[from]+x, c.in[to]+x, c.out[to]+y, c.in[from]+y
 	c.calls["core"] += x + y
 }
 
 // call counts one of a gatekeeper to its bothy.
 func (c *costRun) call(g *costGate, q, a any, name string) {
-	x, y := traverse.Size(q, true), traverse.Size(a, false)
+	x, y := rpc.Size(q, true), rpc.Size(a, false)
 	g.out, c.in[g.at], c.out[g.at], g.in = g.out+x, c.in[g.at]+x, c.out[g.at]+y, g.in+y
 	c.calls[name] += x + y
 }
@@ -235,7 +235,7 @@
 		if home.configcache.Has(&q) {
 			got = home.configcache.Give(c.now, &q)
 		}
-		x, y := traverse.Size(q, true), traverse.Size(got, false)
+		x, y := rpc.Size(q, true), rpc.Size(got, false)
 		g.out, home.in, home.out, g.in = g.out+x, home.in+x, home.out+y, g.in+y
 		c.calls["homes"] += x + y
 		g.configcache.Stock(c.now, got.Parts)
--- a/internal/bothy/cut_test.go
+++ b/internal/bothy/cut_test.go
@@ -16,8 +16,8 @@
 	"foxwood/internal/cairn"
 	"foxwood/internal/election"
 	"foxwood/internal/membership"
+	"foxwood/internal/rpc"
 	"foxwood/internal/snowline"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -131,8 +131,8 @@
 	next := newRoster()
 	next.hear(0, s.roster.since(s.now(), 0))
 	next.poll(s.now(), 1, []waymark.Worker{worker("i-1", closing), worker("i-2")})
-	p := traverse.NewPeer(serve(t, func(server *traverse.Server) {
-		traverse.Handle(server, func(_ context.Context, q waymark.AskRoster) (waymark.Roster, error) {
+	p := rpc.NewPeer(serve(t, func(server *rpc.Server) {
+		rpc.Handle(server, func(_ context.Context, q waymark.AskRoster) (waymark.Roster, error) {
 			return *next.since(0, q.Have), nil
 		})
 	}))
@@ -254,9 +254,9 @@
 // that must be current, however the chain fails; never 200, and never 4xx to a proper order.
 func TestWhatACutOffBothySays(t *testing.T) {
 	for name, fail := range map[string]error{
-		"the chain has no majority":  traverse.Errorf(traverse.Unavailable, "the chain takes nothing now"),
-		"the tail does not answer":   traverse.Errorf(traverse.Unknown, "the chain did not answer in time"),
-		"the store has much to do":   traverse.Errorf(traverse.Busy, "the store has too much to do"),
+		"the chain has no majority":  rpc.Errorf(rpc.Unavailable, "the chain takes nothing now"),
+		"the tail does not answer":   rpc.Errorf(rpc.Unknown, "the chain did not answer in time"),
+		"the store has much to do":   rpc.Errorf(rpc.Busy, "the store has too much to do"),
 		"nothing comes":              nil,
 		"only the disk's word comes": nil,
 	} {
@@ -268,17 +268,17 @@
 		s.cairn.Close()
 		ended := make(chan struct{})
 		t.Cleanup(func() { close(ended) })
-		s.cairn = traverse.NewPeer(serve(t, func(server *traverse.Server) {
-			traverse.Handle(server, func(context.Context, waymark.Enter) (waymark.Entered, error) {
+		s.cairn = rpc.NewPeer(serve(t, func(server *rpc.Server) {
+			rpc.Handle(server, func(context.Context, waymark.Enter) (waymark.Entered, error) {
 				if hang {
 					<-ended
 				}
 				if fail == nil { // an order may be under way; its word is not known
-					return waymark.Entered{}, traverse.Errorf(traverse.Unknown, "the chain did not answer in time")
+					return waymark.Entered{}, rpc.Errorf(rpc.Unknown, "the chain did not answer in time")
 				}
 				return waymark.Entered{}, fail
 			})
-			traverse.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
+			rpc.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
 				if hang {
 					<-ended
 				}
@@ -326,7 +326,7 @@
 			return err
 		},
 	} {
-		assert.Equal(t, traverse.KindOf(call()), traverse.Unavailable, name)
+		assert.Equal(t, rpc.KindOf(call()), rpc.Unavailable, name)
 	}
 	a := s.answer(waymark.Sign{})
 	assert.Assert(t, a.Stale)
@@ -363,14 +363,14 @@
 	s := open(t)
 	var afters []cairn.Stamp
 	s.cairn.Close()
-	s.cairn = traverse.NewPeer(serve(t, func(server *traverse.Server) {
-		traverse.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
+	s.cairn = rpc.NewPeer(serve(t, func(server *rpc.Server) {
+		rpc.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
 			if afters = append(afters, q.After); len(afters) == 1 {
-				return waymark.Entered{}, traverse.Errorf(traverse.Stale, "the zone was changed meanwhile")
+				return waymark.Entered{}, rpc.Errorf(rpc.Stale, "the zone was changed meanwhile")
 			}
 			return waymark.Entered{}, nil
 		})
-		traverse.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
+		rpc.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
 			return waymark.Confirmed{Last: cairn.Stamp{Seq: 5 + uint64(len(afters)), View: 1}}, nil
 		})
 	}))
@@ -444,9 +444,9 @@
 	}
 	assert.Assert(t, fix(ctx) != nil)
 	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) { return waymark.Confirmed{Recalled: true}, nil }
-	assert.Equal(t, traverse.KindOf(fix(t.Context())), traverse.Stale)
+	assert.Equal(t, rpc.KindOf(fix(t.Context())), rpc.Stale)
 	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) {
-		return waymark.Confirmed{}, traverse.Errorf(traverse.Unavailable, "no tail")
+		return waymark.Confirmed{}, rpc.Errorf(rpc.Unavailable, "no tail")
 	}
-	assert.Equal(t, traverse.KindOf(fix(t.Context())), traverse.Unavailable)
+	assert.Equal(t, rpc.KindOf(fix(t.Context())), rpc.Unavailable)
 }
--- a/internal/bothy/keep_test.go
+++ b/internal/bothy/keep_test.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/election"
-	"foxwood/internal/trailhead"
 )
 
 // TestRecall: what is whole is read, what is odd tells nothing, and only a missing file is a first start.
@@ -53,7 +53,7 @@
 func TestOnlyTheFirstLifeIsFirst(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "disk")
 	for life := range 2 {
-		b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7001, 7002}, FirstRun: true, ArchiveDir: dir}, zerolog.Nop())
+		b := New(&bootconfig.Settings{IP: "127.0.0.1", InnerDocks: []int{7001, 7002}, FirstRun: true, ArchiveDir: dir}, zerolog.Nop())
 		voice := b.election.Step(b.now(), election.Event{Kind: election.Heard, Message: election.Message{Kind: election.Ballot, From: "x", Duty: dutySlices, Term: 1, Life: 1}})
 		assert.Equal(t, voice.Send[0].Yes, life == 0)
 	}
@@ -64,7 +64,7 @@
 func TestAFullDiskEndsNoBothy(t *testing.T) {
 	var log bytes.Buffer
 	self := "127.0.0.1:7001"
-	b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7000, 7002}, FirstRun: true, ArchiveDir: t.TempDir()}, zerolog.New(&log))
+	b := New(&bootconfig.Settings{IP: "127.0.0.1", InnerDocks: []int{7000, 7002}, FirstRun: true, ArchiveDir: t.TempDir()}, zerolog.New(&log))
 	now := 0.0
 	b.clock = func() float64 { return now }
 	b.election = election.New(self, 1, now, dutyLease, true, dutySlices)
--- a/internal/bothy/lives_test.go
+++ b/internal/bothy/lives_test.go
@@ -9,14 +9,14 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/membership"
-	"foxwood/internal/trailhead"
 	"foxwood/internal/waymark"
 )
 
 // onDisk is a registry with a disk and a clock that is set.
 func onDisk(dir string, now *float64) *Bothy {
-	b := New(&trailhead.Settings{IP: "127.0.0.1", InnerDocks: []int{7001, 7002}, ArchiveDir: dir, Bounds: trailhead.Bounds{QuotaWindowS: 5}}, zerolog.Nop())
+	b := New(&bootconfig.Settings{IP: "127.0.0.1", InnerDocks: []int{7001, 7002}, ArchiveDir: dir, Bounds: bootconfig.Bounds{QuotaWindowS: 5}}, zerolog.Nop())
 	b.clock = func() float64 { return *now }
 	return b
 }
--- a/internal/bothy/names_test.go
+++ b/internal/bothy/names_test.go
@@ -7,7 +7,7 @@
 
 	"foxwood/internal/cairn"
 	"foxwood/internal/election"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -15,21 +15,21 @@
 // them has the names that the version before knows, whatever its packages are called by now.
 func TestCallsKeepTheirNames(t *testing.T) {
 	for name, is := range map[string]string{
-		"warden.Message":    traverse.NameOf[election.Message](),
-		"cairn.Message":     traverse.NameOf[cairn.Message](),
-		"waymark.Sign":      traverse.NameOf[waymark.Sign](),
-		"waymark.Gossip":    traverse.NameOf[waymark.Gossip](),
-		"waymark.AskRoster": traverse.NameOf[waymark.AskRoster](),
-		"waymark.Draw":      traverse.NameOf[waymark.Draw](),
-		"waymark.Enter":     traverse.NameOf[waymark.Enter](),
-		"waymark.Confirm":   traverse.NameOf[waymark.Confirm](),
-		"waymark.Subscribe": traverse.NameOf[waymark.Subscribe](),
-		"waymark.Tokens":    traverse.NameOf[waymark.Tokens](),
-		"waymark.Lend":      traverse.NameOf[waymark.Lend](),
-		"waymark.Strain":    traverse.NameOf[waymark.Strain](),
-		"waymark.Seen":      traverse.NameOf[waymark.Seen](),
-		"waymark.Posted":    traverse.NameOf[waymark.Posted](),
-		"waymark.AskStatus": traverse.NameOf[waymark.AskStatus](),
+		"warden.Message":    rpc.NameOf[election.Message](),
+		"cairn.Message":     rpc.NameOf[cairn.Message](),
+		"waymark.Sign":      rpc.NameOf[waymark.Sign](),
+		"waymark.Gossip":    rpc.NameOf[waymark.Gossip](),
+		"waymark.AskRoster": rpc.NameOf[waymark.AskRoster](),
+		"waymark.Draw":      rpc.NameOf[waymark.Draw](),
+		"waymark.Enter":     rpc.NameOf[waymark.Enter](),
+		"waymark.Confirm":   rpc.NameOf[waymark.Confirm](),
+		"waymark.Subscribe": rpc.NameOf[waymark.Subscribe](),
+		"waymark.Tokens":    rpc.NameOf[waymark.Tokens](),
+		"waymark.Lend":      rpc.NameOf[waymark.Lend](),
+		"waymark.Strain":    rpc.NameOf[waymark.Strain](),
+		"waymark.Seen":      rpc.NameOf[waymark.Seen](),
+		"waymark.Posted":    rpc.NameOf[waymark.Posted](),
+		"waymark.AskStatus": rpc.NameOf[waymark.AskStatus](),
 	} {
 		assert.Equal(t, is, name)
 	}
--- a/internal/bothy/outside.go
+++ b/internal/bothy/outside.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"foxwood/internal/cairn"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -28,18 +28,18 @@
 )
 
 // answers is what an outside caller hears of each kind of error.
-var answers = map[traverse.Kind]struct {
+var answers = map[rpc.Kind]struct {
 	status int
 	again  string // Retry-After, where to come again may help
 }{
-	traverse.Internal:    {http.StatusInternalServerError, ""},
-	traverse.Unavailable: {http.StatusServiceUnavailable, "0.3"},
-	traverse.Unknown:     {http.StatusServiceUnavailable, "0.3"},
-	traverse.Invalid:     {http.StatusBadRequest, ""},
-	traverse.NotFound:    {http.StatusNotFound, ""},
-	traverse.Busy:        {http.StatusServiceUnavailable, "0.5"},
-	traverse.Stale:       {http.StatusServiceUnavailable, "0.3"},
-	traverse.Conflict:    {http.StatusConflict, ""},
+	rpc.Internal:    {http.StatusInternalServerError, ""},
+	rpc.Unavailable: {http.StatusServiceUnavailable, "0.3"},
+	rpc.Unknown:     {http.StatusServiceUnavailable, "0.3"},
+	rpc.Invalid:     {http.StatusBadRequest, ""},
+	rpc.NotFound:    {http.StatusNotFound, ""},
+	rpc.Busy:        {http.StatusServiceUnavailable, "0.5"},
+	rpc.Stale:       {http.StatusServiceUnavailable, "0.3"},
+	rpc.Conflict:    {http.StatusConflict, ""},
 }
 
 // doors is what outside callers find at which address.
@@ -69,7 +69,7 @@
 func (b *Bothy) open() ([]*http.Server, error) {
 	var servers []*http.Server
 	for addr, mux := range b.doors() {
-		ln, err := traverse.Listen(addr)
+		ln, err := rpc.Listen(addr)
 		if err != nil {
 			return nil, fmt.Errorf("door: %w", err)
 		}
@@ -90,7 +90,7 @@
 
 // fail answers with an error, by the table of kinds.
 func (b *Bothy) fail(w http.ResponseWriter, err error) {
-	a := answers[traverse.KindOf(err)]
+	a := answers[rpc.KindOf(err)]
 	if a.again != "" {
 		w.Header().Set("Retry-After", a.again)
 	}
@@ -111,16 +111,16 @@
 func (b *Bothy) put(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, timetableMost))
 	if err != nil {
-		b.fail(w, traverse.Errorf(traverse.Invalid, "the body was not read whole: %v", err))
+		b.fail(w, rpc.Errorf(rpc.Invalid, "the body was not read whole: %v", err))
 		return
 	}
 	t, err := timetable.Parse(body)
 	if err != nil {
-		b.fail(w, traverse.Errorf(traverse.Invalid, "%v", err))
+		b.fail(w, rpc.Errorf(rpc.Invalid, "%v", err))
 		return
 	}
 	if err := b.enter(r.Context(), cairn.Change{Kind: cairn.PutConfiguration, Edition: t.Edition, Body: body}); err != nil {
-		if traverse.KindOf(err) == traverse.Conflict {
+		if rpc.KindOf(err) == rpc.Conflict {
 			b.log.Warn().Str("edition", timetable.FormatEdition(t.Edition)).Msg("another configuration under a committed edition is refused")
 		}
 		b.fail(w, err)
@@ -136,15 +136,15 @@
 func (b *Bothy) enter(ctx context.Context, c cairn.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, b.patience)
 	defer cancel()
-	_, err := traverse.Call[waymark.Enter, waymark.Entered](ctx, b.cairn, waymark.Enter{Change: c})
+	_, err := rpc.Call[waymark.Enter, waymark.Entered](ctx, b.cairn, waymark.Enter{Change: c})
 	return err
 }
 
 // tails is what is committed by the tail's word, and by nothing less: what a machine recalls may be old.
 func (b *Bothy) tails(ctx context.Context, have cairn.Stamp) (got waymark.Confirmed, err error) {
-	got, err = traverse.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have})
+	got, err = rpc.Call[waymark.Confirm, waymark.Confirmed](ctx, b.cairn, waymark.Confirm{Have: have})
 	if err == nil && got.Recalled {
-		err = traverse.Errorf(traverse.Stale, "the tail did not answer")
+		err = rpc.Errorf(rpc.Stale, "the tail did not answer")
 	}
 	return got, err
 }
@@ -158,7 +158,7 @@
 	case err != nil:
 		b.fail(w, err)
 	case got.State == nil || len(got.State.Body) == 0:
-		b.fail(w, traverse.Errorf(traverse.NotFound, "there is no configuration yet"))
+		b.fail(w, rpc.Errorf(rpc.NotFound, "there is no configuration yet"))
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(got.State.Body)
@@ -181,10 +181,10 @@
 			return err
 		}
 		if ctx.Err() != nil {
-			return traverse.Errorf(traverse.Unavailable, "the caller has left")
+			return rpc.Errorf(rpc.Unavailable, "the caller has left")
 		}
-		_, err = traverse.Call[waymark.Enter, waymark.Entered](bounded, b.cairn, waymark.Enter{Change: c, After: got.Last})
-		if traverse.KindOf(err) != traverse.Stale {
+		_, err = rpc.Call[waymark.Enter, waymark.Entered](bounded, b.cairn, waymark.Enter{Change: c, After: got.Last})
+		if rpc.KindOf(err) != rpc.Stale {
 			return err
 		}
 	}
@@ -199,7 +199,7 @@
 		ok = ok || len(b.places) == 0
 		b.mu.Unlock()
 		if !ok {
-			b.fail(w, traverse.Errorf(traverse.NotFound, "no zone %q", zone))
+			b.fail(w, rpc.Errorf(rpc.NotFound, "no zone %q", zone))
 			return
 		}
 		if err := b.zoned(r.Context(), cairn.Change{Kind: kind, Zone: zone}); err != nil {
@@ -214,7 +214,7 @@
 	q := r.URL.Query()
 	addrs := b.resolve(q.Get("region"), q.Get("zone"))
 	if len(addrs) == 0 {
-		b.fail(w, traverse.Errorf(traverse.Unavailable, "no gatekeeper has signed in"))
+		b.fail(w, rpc.Errorf(rpc.Unavailable, "no gatekeeper has signed in"))
 		return
 	}
 	say(w, http.StatusOK, map[string]any{"addresses": addrs, "validS": min(validS, b.set.Bounds.TTLMaxS)})
--- a/internal/bothy/outside_test.go
+++ b/internal/bothy/outside_test.go
@@ -16,10 +16,10 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/membership"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -42,11 +42,11 @@
 }
 
 // serve answers calls at an address of its own.
-func serve(t *testing.T, prepare func(*traverse.Server)) string {
+func serve(t *testing.T, prepare func(*rpc.Server)) string {
 	t.Helper()
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	s := traverse.NewServer()
+	s := rpc.NewServer()
 	prepare(s)
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(s.Close)
@@ -55,23 +55,23 @@
 
 func open(t *testing.T, others ...string) *stand {
 	t.Helper()
-	set := &trailhead.Settings{Station: "sorting-a-1", IP: "127.0.0.1", InnerDocks: []int{7460, 7475}, Zone: "a1", Region: "a", FirstRun: true,
+	set := &bootconfig.Settings{Station: "sorting-a-1", IP: "127.0.0.1", InnerDocks: []int{7460, 7475}, Zone: "a1", Region: "a", FirstRun: true,
 		Zones: map[string]string{"a1": "a", "b 1": "b"}, FirstStations: append([]string{"127.0.0.1:80"}, others...),
-		Gates:  trailhead.Gates{ControlDesk: "control", DirectoryDesk: "directory"},
-		Bounds: trailhead.Bounds{TTLMaxS: 5, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaSlack: 20}}
+		Gates:  bootconfig.Gates{ControlDesk: "control", DirectoryDesk: "directory"},
+		Bounds: bootconfig.Bounds{TTLMaxS: 5, QuotaWindowS: 5, QuotaExcess: 0.1, QuotaSlack: 20}}
 	s := &stand{Bothy: New(set, zerolog.Nop()), t: t, entered: make(chan cairn.Change, 99)}
-	s.cairn = traverse.NewPeer(serve(t, func(server *traverse.Server) {
-		traverse.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
+	s.cairn = rpc.NewPeer(serve(t, func(server *rpc.Server) {
+		rpc.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
 			s.entered <- q.Change
 			return waymark.Entered{}, s.refuses
 		})
-		traverse.Handle(server, func(_ context.Context, q waymark.Confirm) (waymark.Confirmed, error) { return s.confirmed(q) })
+		rpc.Handle(server, func(_ context.Context, q waymark.Confirm) (waymark.Confirmed, error) { return s.confirmed(q) })
 	}))
 	t.Cleanup(s.cairn.Close)
 	s.patience = patience
 	s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) { return waymark.Confirmed{}, nil }
 	for err := error(io.EOF); err != nil; { // the connection is up before a test begins, also on a busy machine
-		_, err = traverse.Call[waymark.Confirm, waymark.Confirmed](t.Context(), s.cairn, waymark.Confirm{})
+		_, err = rpc.Call[waymark.Confirm, waymark.Confirmed](t.Context(), s.cairn, waymark.Confirm{})
 	}
 	return s
 }
@@ -95,15 +95,15 @@
 
 // TestEachKindOfErrorHasItsAnswer, and each that may pass says when to come again.
 func TestEachKindOfErrorHasItsAnswer(t *testing.T) {
-	for kind, want := range map[traverse.Kind]struct {
+	for kind, want := range map[rpc.Kind]struct {
 		status int
 		again  bool
 	}{
-		traverse.Internal: {500, false}, traverse.Unavailable: {503, true}, traverse.Unknown: {503, true}, traverse.Invalid: {400, false},
-		traverse.NotFound: {404, false}, traverse.Busy: {503, true}, traverse.Stale: {503, true}, traverse.Conflict: {409, false},
+		rpc.Internal: {500, false}, rpc.Unavailable: {503, true}, rpc.Unknown: {503, true}, rpc.Invalid: {400, false},
+		rpc.NotFound: {404, false}, rpc.Busy: {503, true}, rpc.Stale: {503, true}, rpc.Conflict: {409, false},
 	} {
 		s := open(t)
-		s.refuses = traverse.Errorf(kind, "so it is")
+		s.refuses = rpc.Errorf(kind, "so it is")
 		s.confirmed = func(waymark.Confirm) (waymark.Confirmed, error) { return waymark.Confirmed{}, s.refuses }
 		for _, c := range []struct{ method, path, body string }{
 			{"PUT", "/timetable", configuration}, {"GET", "/timetable", ""}, {"POST", "/evacuate/a1", ""}, {"DELETE", "/evacuate/a1", ""},
@@ -118,7 +118,7 @@
 	}
 	assert.Equal(t, len(answers), 8)
 	for kind := range answers {
-		assert.Assert(t, kind == traverse.Internal || kind.String() != traverse.Internal.String(), "%d", kind)
+		assert.Assert(t, kind == rpc.Internal || kind.String() != rpc.Internal.String(), "%d", kind)
 	}
 }
 
@@ -352,7 +352,7 @@
 // TestNoCairn: without its machine's store a bothy takes nothing, and says so.
 func TestNoCairn(t *testing.T) {
 	s := open(t)
-	s.cairn = traverse.NewPeer(freePort(t))
+	s.cairn = rpc.NewPeer(freePort(t))
 	for _, c := range []struct{ method, path, body string }{{"PUT", "/timetable", configuration}, {"GET", "/timetable", ""}, {"POST", "/evacuate/a1", ""}} {
 		w := s.ask("control", c.method, c.path, strings.NewReader(c.body))
 		assert.Equal(t, w.Code, 503)
--- a/internal/bothy/scale_bench_test.go
+++ b/internal/bothy/scale_bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"foxwood/internal/membership"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -49,7 +49,7 @@
 			for b.Loop() {
 				c = crowdOf(roll, &roll.Members[n/2])
 			}
-			b.ReportMetric(float64(traverse.Size(waymark.Signed{Crowd: c}, false)), "B/crowd")
+			b.ReportMetric(float64(rpc.Size(waymark.Signed{Crowd: c}, false)), "B/crowd")
 			b.ReportMetric(float64(len(c.Peers)), "peers")
 		})
 	}
@@ -78,7 +78,7 @@
 				r.poll(now, 1, list)
 			}
 			b.ReportMetric(held, "B/worker")
-			b.ReportMetric(float64(traverse.Size(*r.since(0, 0), false)), "B/whole")
+			b.ReportMetric(float64(rpc.Size(*r.since(0, 0), false)), "B/whole")
 		})
 		b.Run(fmt.Sprintf("change/%d", n), func(b *testing.B) {
 			for now := 0.0; b.Loop(); now += 400 {
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -13,8 +13,8 @@
 	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -51,7 +51,7 @@
 		case <-wait.C:
 			q.Wait = 0
 		case <-ctx.Done():
-			return a, traverse.Errorf(traverse.Unavailable, "the caller has left")
+			return a, rpc.Errorf(rpc.Unavailable, "the caller has left")
 		}
 	}
 }
@@ -178,12 +178,12 @@
 	p := b.peers[holder]
 	b.mu.Unlock()
 	if p == nil || q.Passed {
-		return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
+		return waymark.Drawn{}, rpc.Errorf(rpc.Unavailable, "nobody has the duty")
 	}
 	q.Passed = true
 	ctx, cancel := context.WithTimeout(ctx, callMost/2)
 	defer cancel()
-	return traverse.Call[waymark.Draw, waymark.Drawn](ctx, p, q)
+	return rpc.Call[waymark.Draw, waymark.Drawn](ctx, p, q)
 }
 
 // drawn allots as the holder of the duty. The lock is held.
@@ -191,7 +191,7 @@
 	b.counts.Draws++
 	now := b.now()
 	if _, ok := b.election.Holds(now, dutySlices); !ok || b.parsed == nil {
-		return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "the duty is lost")
+		return waymark.Drawn{}, rpc.Errorf(rpc.Unavailable, "the duty is lost")
 	}
 	demand := make(quota.Demand, len(q.Demand))
 	for name, d := range q.Demand {
@@ -200,7 +200,7 @@
 	id := memberID(q.Station, q.Life)
 	got := b.allot.Ask(now, id, q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
 	if got == nil {
-		return waymark.Drawn{}, traverse.Errorf(traverse.Stale, "an asking that was overtaken")
+		return waymark.Drawn{}, rpc.Errorf(rpc.Stale, "an asking that was overtaken")
 	}
 	if b.book.Again(now, q.Station, b.firstTokensWindow()) { // an allotter before this one may have given them
 		for name, s := range got {
@@ -269,7 +269,7 @@
 		p := b.peers[m.To]
 		b.mu.Unlock()
 		if p != nil {
-			_ = traverse.Tell(p, m)
+			_ = rpc.Tell(p, m)
 		}
 	}
 }
--- a/internal/bothy/sessions_test.go
+++ b/internal/bothy/sessions_test.go
@@ -11,7 +11,7 @@
 	"foxwood/internal/election"
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -60,7 +60,7 @@
 	a = s.answer(waymark.Sign{})
 	assert.Assert(t, a.AsOf <= 0 && a.AsOf > -slow, "%v", a.AsOf)
 	s.pass(slow)
-	s.says(waymark.Confirmed{}, traverse.Errorf(traverse.Unavailable, "no tail"))
+	s.says(waymark.Confirmed{}, rpc.Errorf(rpc.Unavailable, "no tail"))
 	a = s.answer(waymark.Sign{})
 	assert.Assert(t, a.Stale && a.AsOf <= -slow, "%v: a failed asking makes nothing newer", a.AsOf)
 	assert.Equal(t, s.counts.ConfirmsFailed, uint64(1))
@@ -205,8 +205,8 @@
 func TestADrawIsPassedOnOnce(t *testing.T) {
 	heard := make(chan waymark.Draw, 9)
 	slices := map[string]quota.Slice{"ana": {Rate: 2, Burst: 4}}
-	addr := serve(t, func(server *traverse.Server) {
-		traverse.Handle(server, func(_ context.Context, q waymark.Draw) (waymark.Drawn, error) {
+	addr := serve(t, func(server *rpc.Server) {
+		rpc.Handle(server, func(_ context.Context, q waymark.Draw) (waymark.Drawn, error) {
 			heard <- q
 			return waymark.Drawn{Slices: waymark.Pack(slices), Lease: 1300}, nil
 		})
@@ -214,7 +214,7 @@
 	s := open(t)
 	q := waymark.Draw{Station: "p", Life: 1, Turn: 1}
 	_, err := s.draw(t.Context(), q)
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "nobody has the duty")
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable, "nobody has the duty")
 
 	// The other one says that it has the duty.
 	holds := func(from string) {
@@ -222,7 +222,7 @@
 		defer s.mu.Unlock()
 		s.election.Step(s.now(), election.Event{Kind: election.Heard, Message: election.Message{Kind: election.Announce, From: from, Held: []election.Tenure{{Duty: dutySlices, Term: 3}}}})
 	}
-	s.peers[addr] = traverse.NewPeer(addr)
+	s.peers[addr] = rpc.NewPeer(addr)
 	var got waymark.Drawn
 	for until := time.Now().Add(patience); err != nil && time.Now().Before(until); { // a machine that stands still is late
 		holds(addr)
@@ -236,12 +236,12 @@
 	holds(addr)
 	q.Passed = true
 	_, err = s.draw(t.Context(), q)
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable)
 	assert.Equal(t, len(heard), 0)
 	holds("10.9.9.9:1") // a holder that is not known
 	q.Passed = false
 	_, err = s.draw(t.Context(), q)
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable)
 }
 
 // TestTheHolderAllots, and refuses an asking that another has overtaken.
@@ -269,7 +269,7 @@
 	once := draw
 	draw = func(turn uint64, passed bool) (a waymark.Drawn, err error) {
 		for until := time.Now().Add(patience); time.Now().Before(until); { // a machine that stands still loses its duty
-			if a, err = once(turn, passed); traverse.KindOf(err) != traverse.Unavailable {
+			if a, err = once(turn, passed); rpc.KindOf(err) != rpc.Unavailable {
 				break
 			}
 		}
@@ -279,14 +279,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, a.Lease, sliceLease)
 	_, err = draw(2, false)
-	assert.Equal(t, traverse.KindOf(err), traverse.Stale)
+	assert.Equal(t, rpc.KindOf(err), rpc.Stale)
 	_, err = draw(1, false)
-	assert.Equal(t, traverse.KindOf(err), traverse.Stale)
+	assert.Equal(t, rpc.KindOf(err), rpc.Stale)
 	_, err = draw(3, false)
 	assert.NilError(t, err)
 	s.leave()
 	_, err = s.draw(t.Context(), waymark.Draw{Station: "p", Life: 1, Turn: 4})
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "who leaves has given its duty up")
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable, "who leaves has given its duty up")
 }
 
 // TestASilentPeerHoldsUpNobodyElse: while one does not answer, the others are told in each round, and it is not told
@@ -295,8 +295,8 @@
 	told := make(chan string, 16)
 	end := make(chan struct{})
 	peer := func(name string, answers bool) string {
-		return serve(t, func(server *traverse.Server) {
-			traverse.Handle(server, func(ctx context.Context, _ waymark.Gossip) (waymark.Heard, error) {
+		return serve(t, func(server *rpc.Server) {
+			rpc.Handle(server, func(ctx context.Context, _ waymark.Gossip) (waymark.Heard, error) {
 				told <- name
 				if !answers {
 					<-end
@@ -306,7 +306,7 @@
 		})
 	}
 	s := open(t)
-	for _, p := range []*traverse.Peer{traverse.NewPeer(peer("silent", false)), traverse.NewPeer(peer("other", true))} {
+	for _, p := range []*rpc.Peer{rpc.NewPeer(peer("silent", false)), rpc.NewPeer(peer("other", true))} {
 		t.Cleanup(p.Close)
 		s.peers[p.Addr()] = p
 	}
--- a/internal/bothy/shadow.go
+++ b/internal/bothy/shadow.go
@@ -14,8 +14,8 @@
 
 	"foxwood/internal/cairn"
 	"foxwood/internal/membership"
+	"foxwood/internal/rpc"
 	"foxwood/internal/spur"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -41,7 +41,7 @@
 func (b *Bothy) putShadow(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, shadowMost))
 	if err != nil {
-		b.fail(w, traverse.Errorf(traverse.Invalid, "the body was not read whole: %v", err))
+		b.fail(w, rpc.Errorf(rpc.Invalid, "the body was not read whole: %v", err))
 		return
 	}
 	o, faults := spur.ReadOrder(body)
@@ -51,7 +51,7 @@
 		b.mu.Unlock()
 	}
 	if len(faults) > 0 {
-		b.fail(w, traverse.Errorf(traverse.Invalid, "%s", faultText(faults)))
+		b.fail(w, rpc.Errorf(rpc.Invalid, "%s", faultText(faults)))
 		return
 	}
 	state, err := b.heldState(r.Context())
@@ -66,7 +66,7 @@
 	case err != nil:
 		b.fail(w, err)
 	case !took:
-		b.fail(w, traverse.Errorf(traverse.Invalid, "%v", o.After(&spur.Order{Number: max(held.No, o.Number)})))
+		b.fail(w, rpc.Errorf(rpc.Invalid, "%v", o.After(&spur.Order{Number: max(held.No, o.Number)})))
 	default:
 		b.log.Info().Uint64("number", o.Number).Msg("an operator's order for copies")
 		say(w, http.StatusOK, map[string]string{"number": strconv.FormatUint(o.Number, 10)})
@@ -112,7 +112,7 @@
 	case err != nil:
 		b.fail(w, err)
 	case o.No == 0:
-		b.fail(w, traverse.Errorf(traverse.NotFound, "there is no order for copies yet"))
+		b.fail(w, rpc.Errorf(rpc.NotFound, "there is no order for copies yet"))
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(o.Body)
@@ -124,7 +124,7 @@
 	for n := 0; ; n++ {
 		held, err := b.heldShadow(r.Context())
 		if err == nil && r.Context().Err() != nil { // it may have lain here, and would stop what came since
-			err = traverse.Errorf(traverse.Unavailable, "the caller has left")
+			err = rpc.Errorf(rpc.Unavailable, "the caller has left")
 		}
 		if err != nil {
 			b.fail(w, err)
@@ -135,12 +135,12 @@
 			return
 		}
 		if n == stopTries {
-			b.fail(w, traverse.Errorf(traverse.Unavailable, "others' orders came in between"))
+			b.fail(w, rpc.Errorf(rpc.Unavailable, "others' orders came in between"))
 			return
 		}
 		no := held.No + 1
 		_, err = b.enterShadow(r.Context(), no, fmt.Appendf(nil, `{"number":%d,"stopped":true}`, no))
-		if err != nil && traverse.KindOf(err) != traverse.Conflict { // then another order has the number
+		if err != nil && rpc.KindOf(err) != rpc.Conflict { // then another order has the number
 			b.fail(w, err)
 			return
 		}
--- a/internal/bothy/shadow_test.go
+++ b/internal/bothy/shadow_test.go
@@ -11,7 +11,7 @@
 
 	"foxwood/internal/cairn"
 	"foxwood/internal/membership"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -23,15 +23,15 @@
 // chained has the scripted cairn keep orders as the chain does.
 func (s *stand) chained(held cairn.Order) *cairn.Order {
 	s.cairn.Close()
-	s.cairn = traverse.NewPeer(serve(s.t, func(server *traverse.Server) {
-		traverse.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
+	s.cairn = rpc.NewPeer(serve(s.t, func(server *rpc.Server) {
+		rpc.Handle(server, func(_ context.Context, q waymark.Enter) (waymark.Entered, error) {
 			if s.refuses == nil && q.Change.No > held.No {
 				held = cairn.Order{No: q.Change.No, Body: q.Change.Body}
 			}
 			s.entered <- q.Change
 			return waymark.Entered{}, s.refuses
 		})
-		traverse.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
+		rpc.Handle(server, func(context.Context, waymark.Confirm) (waymark.Confirmed, error) {
 			return waymark.Confirmed{State: &cairn.State{Orders: map[string]cairn.Order{OrderShadow: held}}}, nil
 		})
 	}))
@@ -82,7 +82,7 @@
 	}
 	assert.Equal(t, string(held.Body), three)
 
-	s.refuses = traverse.Errorf(traverse.Unavailable, "no chain")
+	s.refuses = rpc.Errorf(rpc.Unavailable, "no chain")
 	code, _ := put(copies(4, "10.0.0.9:80"))
 	assert.Equal(t, code, 503, "not on the disks, not acknowledged")
 	assert.Equal(t, s.ask("control", "DELETE", "/shadow", nil).Code, 503)
@@ -144,7 +144,7 @@
 	assert.Equal(t, put(copies(3, "10.0.0.8:80")), 400, "another under that number")
 	assert.Equal(t, put(copies(2, "10.0.0.8:80")), 400, "one that never held")
 	assert.Equal(t, len(s.entered), 0)
-	s.refuses = traverse.Errorf(traverse.Conflict, "another was first")
+	s.refuses = rpc.Errorf(rpc.Conflict, "another was first")
 	assert.Equal(t, put(copies(5, "10.0.0.8:80")), 409)
 	assert.Equal(t, held.No, uint64(4))
 }
--- a/internal/bothy/shed.go
+++ b/internal/bothy/shed.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"foxwood/internal/rpc"
 	"foxwood/internal/snowline"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -28,12 +28,12 @@
 }
 
 // serveLevel sets the handlers of the level.
-func (b *Bothy) serveLevel(ctx context.Context, s *traverse.Server) {
+func (b *Bothy) serveLevel(ctx context.Context, s *rpc.Server) {
 	if b.level == nil {
 		return
 	}
-	traverse.Handle(s, b.strain)
-	traverse.Handle(s, b.fixLevel)
+	rpc.Handle(s, b.strain)
+	rpc.Handle(s, b.fixLevel)
 	go loop(ctx, levelEvery, nil, func(context.Context) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -83,12 +83,12 @@
 	p := b.peers[b.election.Holder(now, DutyLevel)]
 	b.mu.Unlock()
 	if p == nil || q.Passed {
-		return a, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
+		return a, rpc.Errorf(rpc.Unavailable, "nobody has the duty")
 	}
 	q.Passed = true
 	ctx, cancel := context.WithTimeout(ctx, strainMost)
 	defer cancel()
-	if a, err = traverse.Call[waymark.Strain, waymark.Eased](ctx, p, q); err == nil {
+	if a, err = rpc.Call[waymark.Strain, waymark.Eased](ctx, p, q); err == nil {
 		b.mu.Lock()
 		b.level.Note(a.Level)
 		b.mu.Unlock()
@@ -100,7 +100,7 @@
 // reached, or its caller has left by then.
 func (b *Bothy) fixLevel(ctx context.Context, q waymark.FixLevel) (a waymark.Eased, err error) {
 	if q.Cut > policy.MarkOpen || !(q.ForMs >= 0 && q.ForMs <= fixMost) {
-		return a, traverse.Errorf(traverse.Invalid, "no such cut, or not for a time up to a day")
+		return a, rpc.Errorf(rpc.Invalid, "no such cut, or not for a time up to a day")
 	}
 	b.mu.Lock()
 	have := b.state.Last
@@ -110,7 +110,7 @@
 		_, err = b.tails(asked, have)
 		cancel()
 		if err == nil && ctx.Err() != nil {
-			err = traverse.Errorf(traverse.Unavailable, "the caller has left")
+			err = rpc.Errorf(rpc.Unavailable, "the caller has left")
 		}
 		if err != nil {
 			return a, err
@@ -127,12 +127,12 @@
 	p := b.peers[b.election.Holder(now, DutyLevel)]
 	b.mu.Unlock()
 	if p == nil || q.Passed {
-		return a, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
+		return a, rpc.Errorf(rpc.Unavailable, "nobody has the duty")
 	}
 	q.Passed = true
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
-	return traverse.Call[waymark.FixLevel, waymark.Eased](ctx, p, q)
+	return rpc.Call[waymark.FixLevel, waymark.Eased](ctx, p, q)
 }
 
 // levelLines is the level's part of the status. The lock is held.
--- a/internal/signpost/signpost.go
+++ b/internal/cli/cli.go
@@ -1,5 +1,5 @@
-// Package signpost is the command line of the system's programs.
-package signpost
+// Package cli is the command line of the system's programs.
+package cli
 
 import (
 	"cmp"
@@ -17,11 +17,11 @@
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/metrics"
+	"foxwood/internal/rpc"
 	"foxwood/internal/spur"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -30,7 +30,7 @@
 	// Serve returns once the context has ended and all that was owed is done.
 	Serve(ctx context.Context) error
 	// Reload takes settings that have changed.
-	Reload(set *trailhead.Settings)
+	Reload(set *bootconfig.Settings)
 }
 
 // Program is one of the system's programs.
@@ -39,7 +39,7 @@
 	Summary string
 	Flags   func(*flag.FlagSet) // of its serve command, nil for none
 	Check   func() error        // of what they say
-	Make    func(set *trailhead.Settings, log zerolog.Logger) (Runner, error)
+	Make    func(set *bootconfig.Settings, log zerolog.Logger) (Runner, error)
 }
 
 // Main runs the command that the arguments name, and returns the exit status.
@@ -84,7 +84,7 @@
 	}
 }
 func (c *serve) Usage() string {
-	return "serve\n\tServe by the settings file that " + trailhead.Variable + " names, until SIGTERM has been answered to the\n" +
+	return "serve\n\tServe by the settings file that " + bootconfig.Variable + " names, until SIGTERM has been answered to the\n" +
 		"\tend. SIGHUP reads the file again.\n"
 }
 
@@ -100,7 +100,7 @@
 			return fail(err)
 		}
 	}
-	set, err := trailhead.Read()
+	set, err := bootconfig.Read()
 	if err != nil {
 		return fail(err)
 	}
@@ -130,7 +130,7 @@
 }
 
 // serveMetrics serves a runner's figures where the settings or the command line name a place for them.
-func (c *serve) serveMetrics(ctx context.Context, set *trailhead.Settings, r Runner) error {
+func (c *serve) serveMetrics(ctx context.Context, set *bootconfig.Settings, r Runner) error {
 	where := cmp.Or(set.Metrics, c.metrics)
 	source, ok := r.(metrics.Source)
 	if where == "" || !ok {
@@ -146,7 +146,7 @@
 // watch reads the settings again when told, or when the file has changed. One with a fault
 // changes nothing.
 func watch(ctx context.Context, again <-chan os.Signal, r Runner, log zerolog.Logger) {
-	path := os.Getenv(trailhead.Variable)
+	path := os.Getenv(bootconfig.Variable)
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	changed := func() time.Time {
@@ -168,7 +168,7 @@
 			}
 		}
 		last = changed()
-		set, err := trailhead.Read()
+		set, err := bootconfig.Read()
 		if err != nil {
 			log.Error().Err(err).Msg("settings not replaced, the old ones hold")
 			continue
@@ -188,7 +188,7 @@
 	return "check [-settings FILE] [-timetable FILE] [-shadow FILE]\n\tName each field that has a fault, and why. Exits with 1 where there is one.\n"
 }
 func (c *check) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", "", "a settings file, as "+trailhead.Variable+" names one (TOML)")
+	f.StringVar(&c.settings, "settings", "", "a settings file, as "+bootconfig.Variable+" names one (TOML)")
 	f.StringVar(&c.table, "timetable", "", "an operator's configuration, as PUT /timetable takes it (JSON); - for standard input")
 	f.StringVar(&c.shadow, "shadow", "", "an operator's order for copies, as PUT /shadow takes it (JSON); - for standard input")
 }
@@ -200,7 +200,7 @@
 	}
 	bad := false
 	if c.settings != "" {
-		if _, err := trailhead.File(c.settings); err != nil {
+		if _, err := bootconfig.File(c.settings); err != nil {
 			fmt.Println(err)
 			bad = true
 		}
@@ -259,9 +259,9 @@
 	}
 	exit := subcommands.ExitSuccess
 	for _, addr := range f.Args() {
-		p := traverse.NewPeer(addr)
+		p := rpc.NewPeer(addr)
 		ctx, cancel := context.WithTimeout(ctx, c.patience)
-		s, err := traverse.Call[waymark.AskStatus, waymark.Status](ctx, p, waymark.AskStatus{})
+		s, err := rpc.Call[waymark.AskStatus, waymark.Status](ctx, p, waymark.AskStatus{})
 		cancel()
 		p.Close()
 		if err != nil {
--- a/internal/signpost/forget.go
+++ b/internal/cli/forget.go
@@ -1,4 +1,4 @@
-package signpost
+package cli
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/google/subcommands"
 
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -33,11 +33,11 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
-	p := traverse.NewPeer(c.at)
+	p := rpc.NewPeer(c.at)
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
-	a, err := traverse.Call[waymark.Forget, waymark.Forgotten](ctx, p, waymark.Forget{Addr: f.Arg(0)})
+	a, err := rpc.Call[waymark.Forget, waymark.Forgotten](ctx, p, waymark.Forget{Addr: f.Arg(0)})
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/signpost/rebuild.go
+++ b/internal/cli/rebuild.go
@@ -1,4 +1,4 @@
-package signpost
+package cli
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/google/subcommands"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -38,9 +38,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	p := traverse.NewPeer(c.at)
+	p := rpc.NewPeer(c.at)
 	defer p.Close()
-	r, err := traverse.Call[waymark.Rebuild, waymark.Rebuilt](ctx, p, waymark.Rebuild{Last: last})
+	r, err := rpc.Call[waymark.Rebuild, waymark.Rebuilt](ctx, p, waymark.Rebuild{Last: last})
 	if err != nil {
 		return fail(fmt.Errorf("%s: %w (a majority of the core is heard, or was a moment ago; or it holds something else, or another holds more)", c.at, err))
 	}
--- a/internal/signpost/shadow.go
+++ b/internal/cli/shadow.go
@@ -1,4 +1,4 @@
-package signpost
+package cli
 
 import (
 	"bytes"
@@ -13,8 +13,8 @@
 
 	"github.com/google/subcommands"
 
+	"foxwood/internal/rpc"
 	"foxwood/internal/spur"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -87,9 +87,9 @@
 	exit := subcommands.ExitSuccess
 	var sum spur.Counts
 	for _, addr := range addrs {
-		p := traverse.NewPeer(addr)
+		p := rpc.NewPeer(addr)
 		ctx, cancel := context.WithTimeout(ctx, c.patience)
-		a, err := traverse.Call[waymark.AskCopies, waymark.Copies](ctx, p, waymark.AskCopies{})
+		a, err := rpc.Call[waymark.AskCopies, waymark.Copies](ctx, p, waymark.AskCopies{})
 		cancel()
 		p.Close()
 		switch {
--- a/internal/signpost/shed.go
+++ b/internal/cli/shed.go
@@ -1,4 +1,4 @@
-package signpost
+package cli
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 
 	"github.com/google/subcommands"
 
+	"foxwood/internal/rpc"
 	"foxwood/internal/snowline"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -59,11 +59,11 @@
 	case c.tenant >= 0:
 		q.Cut = policy.TierMark(policy.Tier(c.tenant, c.route, 0))
 	}
-	p := traverse.NewPeer(c.at)
+	p := rpc.NewPeer(c.at)
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	if _, err := traverse.Call[waymark.FixLevel, waymark.Eased](ctx, p, q); err != nil {
+	if _, err := rpc.Call[waymark.FixLevel, waymark.Eased](ctx, p, q); err != nil {
 		return fail(err)
 	}
 	if c.auto {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -77,7 +77,7 @@
 	Terms    []Tenure `cbor:"14,keyasint,omitempty"` // of a Announce: the highest term heard of each duty, so that terms rise though voters change
 }
 
-// CallName implements traverse.Named: the package was called warden when the message got its name.
+// CallName implements rpc.Named: the package was called warden when the message got its name.
 func (Message) CallName() string { return "warden.Message" }
 
 // Tenure is a duty held in a term. VacantMs is, where it was won, for how long before that nobody
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,7 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 )
 
 // namespace begins the name of each figure.
@@ -115,7 +115,7 @@
 
 // calls are the calls between processes that this one has sent.
 func calls() (figures []Figure) {
-	for call, sent := range traverse.Sent() {
+	for call, sent := range rpc.Sent() {
 		call = strings.TrimPrefix(call, "waymark.")
 		label := Label{"call", call}
 		figures = append(figures, Count("rpc_sent_frames_total", "Frames sent to other processes, by call; answers have an arrow before the name.", sent[0], label),
@@ -133,7 +133,7 @@
 
 // Serve answers scrapes at an address of this machine until the context ends.
 func Serve(ctx context.Context, ip string, at Endpoint, source Source) error {
-	listener, err := traverse.Listen(net.JoinHostPort(ip, strconv.Itoa(at.Port)))
+	listener, err := rpc.Listen(net.JoinHostPort(ip, strconv.Itoa(at.Port)))
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
--- a/internal/quota/quotas.go
+++ b/internal/quota/quotas.go
@@ -3,12 +3,12 @@
 import (
 	"iter"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
 )
 
 // BoundsOf is the rule that the settings tell.
-func BoundsOf(b *trailhead.Bounds) Bounds {
+func BoundsOf(b *bootconfig.Bounds) Bounds {
 	return Bounds{WindowS: b.QuotaWindowS, Excess: b.QuotaExcess, Slack: b.QuotaSlack}
 }
 
--- a/internal/traverse/cuts_test.go
+++ b/internal/rpc/cuts_test.go
@@ -1,4 +1,4 @@
-package traverse
+package rpc
 
 import (
 	"bufio"
--- a/internal/traverse/traverse.go
+++ b/internal/rpc/rpc.go
@@ -1,8 +1,8 @@
-// Package traverse carries calls between the system's own processes: CBOR frames over TCP,
+// Package rpc carries calls between the system's own processes: CBOR frames over TCP,
 // a pair of types for each call behind one generic handler, and one closed list of kinds of
 // error. A call that is not answered in its time ends its connection: behind a cut nothing
 // ever comes, and what hangs must not hang the next call too.
-package traverse
+package rpc
 
 import (
 	"bufio"
--- a/internal/store/bulk.go
+++ b/internal/store/bulk.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -371,7 +371,7 @@
 	total := 0
 	for _, b := range p.Blobs {
 		if total += b.Len; b.Len <= 0 || b.Packed <= 0 || len(b.Sum) != sha256.Size || total > blobsMost {
-			return m, w, traverse.Errorf(traverse.Invalid, "a body of %d bytes, %d together", b.Len, total)
+			return m, w, rpc.Errorf(rpc.Invalid, "a body of %d bytes, %d together", b.Len, total)
 		}
 	}
 	for _, b := range p.Blobs {
@@ -436,7 +436,7 @@
 func (d *desk) chunk(now float64, c waymark.Chunk) (waymark.Taken, error) {
 	b := c.Blob
 	if b.Packed <= 0 || b.Packed > partsMost || b.Len <= 0 || b.Len > blobsMost || len(b.Sum) != sha256.Size || len(c.Bytes) > chunkMost {
-		return waymark.Taken{}, traverse.Errorf(traverse.Invalid, "a chunk of a body of %d bytes", b.Packed)
+		return waymark.Taken{}, rpc.Errorf(rpc.Invalid, "a chunk of a body of %d bytes", b.Packed)
 	}
 	if d.find(now, b) != nil {
 		return waymark.Taken{Have: b.Packed}, nil
--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -56,7 +56,7 @@
 	case nil:
 		return nil, 0, wait < 0
 	case *waymark.Parcel:
-		sent = traverse.Size(*call, true)
+		sent = rpc.Size(*call, true)
 		if !passes {
 			c.failed(now)
 			break
@@ -68,7 +68,7 @@
 		}
 		c.wanted(now+takes(sent), call, onWire(t, w))
 	case *waymark.Chunk:
-		sent = traverse.Size(*call, true)
+		sent = rpc.Size(*call, true)
 		if !passes {
 			c.failed(now)
 			break
@@ -452,10 +452,10 @@
 	assert.Assert(t, n <= partsMost)
 	for _, bad := range []waymark.Blob{{}, {Sum: large(32, 1), Len: 1, Packed: partsMost + 1}, {Sum: large(32, 1), Len: blobsMost + 1, Packed: 1}, {Sum: large(3, 1), Len: 1, Packed: 1}} {
 		_, err := d.chunk(0, waymark.Chunk{Blob: bad})
-		assert.Equal(t, traverse.KindOf(err), traverse.Invalid)
+		assert.Equal(t, rpc.KindOf(err), rpc.Invalid)
 	}
 	_, _, err := d.parcel(0, waymark.Parcel{Blobs: []waymark.Blob{{Sum: large(32, 1), Len: blobsMost, Packed: 1}, {Sum: large(32, 2), Len: 1, Packed: 1}}})
-	assert.Equal(t, traverse.KindOf(err), traverse.Invalid)
+	assert.Equal(t, rpc.KindOf(err), rpc.Invalid)
 }
 
 // TestNoCallIsLong: however long a message is, no call of it is longer than a chunk. A whole window of
@@ -487,12 +487,12 @@
 // little.
 func TestParcelsComeOverAConnection(t *testing.T) {
 	to := open(t, settings(t), fine) // nobody runs its loop
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server := traverse.NewServer()
-	traverse.Handle(server, to.message)
-	traverse.Handle(server, to.parcel)
-	traverse.Handle(server, to.chunk)
+	server := rpc.NewServer()
+	rpc.Handle(server, to.message)
+	rpc.Handle(server, to.parcel)
+	rpc.Handle(server, to.chunk)
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(server.Close)
 	from := open(t, settings(t), fine)
@@ -508,10 +508,10 @@
 // TestAnEarlierVersionIsToldAsBefore: one that knows no parcels gets the message as one frame.
 func TestAnEarlierVersionIsToldAsBefore(t *testing.T) {
 	got := make(chan cairn.Message, 1)
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server := traverse.NewServer()
-	traverse.Handle(server, func(_ context.Context, m cairn.Message) (waymark.AskStatus, error) {
+	server := rpc.NewServer()
+	rpc.Handle(server, func(_ context.Context, m cairn.Message) (waymark.AskStatus, error) {
 		got <- m
 		return waymark.AskStatus{}, nil
 	})
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -17,10 +17,10 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/recordlog"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -137,7 +137,7 @@
 }
 
 // with makes a store whose disk is faulty, and which looks again at once.
-func (f *fault) with(t *testing.T, set *trailhead.Settings) (*Store, *logged) {
+func (f *fault) with(t *testing.T, set *bootconfig.Settings) (*Store, *logged) {
 	t.Helper()
 	log := &logged{}
 	s, err := newOn(f.opener, set, zerolog.New(log))
@@ -166,11 +166,11 @@
 	t.Helper()
 	began := time.Now()
 	_, err := s.enter(t.Context(), configuration(99))
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "%v", err)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable, "%v", err)
 	_, err = s.confirm(t.Context(), waymark.Confirm{})
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "%v", err)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable, "%v", err)
 	_, err = s.forget(t.Context(), waymark.Forget{Addr: "127.0.0.1:9"})
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable, "%v", err)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable, "%v", err)
 	known, err := s.confirm(t.Context(), waymark.Confirm{Recall: true})
 	assert.NilError(t, err)
 	assert.Assert(t, known.Recalled, "no word of a tail")
@@ -207,7 +207,7 @@
 			f.add.Store(&c.is)
 			f.whole.Store(&trouble{err: fmt.Errorf("%w: %w", recordlog.ErrKept, c.is.err)})
 			_, err := s.enter(t.Context(), configuration(2))
-			assert.Equal(t, traverse.KindOf(err), traverse.Unknown, "it may be on the disk")
+			assert.Equal(t, rpc.KindOf(err), rpc.Unknown, "it may be on the disk")
 			untilSaid(t, s, "disk lost")
 			assert.Assert(t, strings.Contains(standing(t, s), c.is.err.Error()))
 			refusedAtOnce(t, s, 1) // not 2: a chain of one had committed it in the step that failed
--- a/internal/store/identity_test.go
+++ b/internal/store/identity_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -28,10 +28,10 @@
 		t.Helper()
 		for _, e := range []uint64{6, 7, 9} {
 			_, err := s.enter(t.Context(), other(e))
-			for k := traverse.KindOf(err); err != nil && (k == traverse.Unavailable || k == traverse.Unknown); k = traverse.KindOf(err) {
+			for k := rpc.KindOf(err); err != nil && (k == rpc.Unavailable || k == rpc.Unknown); k = rpc.KindOf(err) {
 				_, err = s.enter(t.Context(), other(e)) // the chain is coming up
 			}
-			assert.Equal(t, traverse.KindOf(err), traverse.Conflict, "%s: edition %d: %v", when, e, err)
+			assert.Equal(t, rpc.KindOf(err), rpc.Conflict, "%s: edition %d: %v", when, e, err)
 			enter(t, s, configuration(e))
 		}
 		c := confirm(t, s, waymark.Confirm{})
--- a/internal/store/lane.go
+++ b/internal/store/lane.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"foxwood/internal/cairn"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -15,7 +15,7 @@
 
 // lane carries out what a courier wants, on a connection that no beat waits behind.
 type lane struct {
-	peer *traverse.Peer
+	peer *rpc.Peer
 	wake chan struct{}
 
 	mu      sync.Mutex
@@ -28,7 +28,7 @@
 	s.mu.Lock()
 	l := s.lanes[m.To.Addr]
 	if l == nil {
-		l = &lane{peer: traverse.NewPeer(m.To.Addr), wake: make(chan struct{}, 1)}
+		l = &lane{peer: rpc.NewPeer(m.To.Addr), wake: make(chan struct{}, 1)}
 		s.lanes[m.To.Addr] = l
 	}
 	s.mu.Unlock()
@@ -87,15 +87,15 @@
 		case *waymark.Parcel:
 			w, err := ask[waymark.Parcel, waymark.Wanted](l, call)
 			l.mu.Lock()
-			switch k := traverse.KindOf(err); {
+			switch k := rpc.KindOf(err); {
 			case err == nil:
 				l.wanted(s.now(), call, w)
-			case k == traverse.NotFound: // of an earlier version
+			case k == rpc.NotFound: // of an earlier version
 				if len(l.queue) > 0 && l.queue[0].made == call {
-					_ = traverse.Tell(l.peer, l.queue[0].m)
+					_ = rpc.Tell(l.peer, l.queue[0].m)
 				}
 				l.drop(s.now(), call)
-			case k == traverse.Invalid:
+			case k == rpc.Invalid:
 				l.drop(s.now(), call)
 			default:
 				l.failed(s.now())
@@ -117,7 +117,7 @@
 func ask[Q, A any](l *lane, q *Q) (A, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), laneMost)
 	defer cancel()
-	return traverse.Call[Q, A](ctx, l.peer, *q)
+	return rpc.Call[Q, A](ctx, l.peer, *q)
 }
 
 // parcel and chunk are calls of another machine's courier.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,10 +13,10 @@
 
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/recordlog"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -36,7 +36,7 @@
 
 // Store is one core machine's part of the store.
 type Store struct {
-	set     *trailhead.Settings
+	set     *bootconfig.Settings
 	log     zerolog.Logger
 	start   time.Time
 	machine *cairn.Machine // none while the disk is lost
@@ -45,7 +45,7 @@
 	seeds   chan []string
 
 	mu    sync.Mutex
-	peers map[string]*traverse.Peer
+	peers map[string]*rpc.Peer
 	lanes map[string]*lane
 
 	deskMu sync.Mutex // not for the loop: a body takes its time to be unpacked
@@ -80,16 +80,16 @@
 }
 
 // New opens the disk and goes on from what is on it.
-func New(set *trailhead.Settings, log zerolog.Logger) (*Store, error) {
+func New(set *bootconfig.Settings, log zerolog.Logger) (*Store, error) {
 	return newOn(func(dir string) (journal, [][]byte, error) { return recordlog.Open(dir) }, set, log)
 }
 
-func newOn(open opener, set *trailhead.Settings, log zerolog.Logger) (*Store, error) {
+func newOn(open opener, set *bootconfig.Settings, log zerolog.Logger) (*Store, error) {
 	if set.ArchiveDir == "" {
 		return nil, fmt.Errorf("archiveDir: is missing, and a store needs a disk")
 	}
 	s := &Store{set: set, log: log, start: time.Now(), events: make(chan event, queueMost), seeds: make(chan []string, 1),
-		peers: map[string]*traverse.Peer{}, lanes: map[string]*lane{}, waiting: map[uint64]event{}, from: set.Seeds(dock),
+		peers: map[string]*rpc.Peer{}, lanes: map[string]*lane{}, waiting: map[uint64]event{}, from: set.Seeds(dock),
 		diskState: diskState{open: open, stall: stallMost, mendEvery: mendEvery}}
 	var stored []cairn.Record
 	var err error
@@ -107,7 +107,7 @@
 func (s *Store) now() float64 { return float64(time.Since(s.start)) / 1e6 }
 
 // Reload takes a settings file that has changed.
-func (s *Store) Reload(set *trailhead.Settings) {
+func (s *Store) Reload(set *bootconfig.Settings) {
 	select {
 	case s.seeds <- set.Seeds(dock):
 	default:
@@ -116,19 +116,19 @@
 
 // Serve takes part until the context ends.
 func (s *Store) Serve(ctx context.Context) error {
-	ln, err := traverse.Listen(s.set.Inner(dock))
+	ln, err := rpc.Listen(s.set.Inner(dock))
 	if err != nil {
 		return err
 	}
-	server := traverse.NewServer()
-	traverse.Handle(server, s.message)
-	traverse.Handle(server, s.parcel)
-	traverse.Handle(server, s.chunk)
-	traverse.Handle(server, s.enter)
-	traverse.Handle(server, s.confirm)
-	traverse.Handle(server, s.status)
-	traverse.Handle(server, s.forget)
-	traverse.Handle(server, s.rebuild)
+	server := rpc.NewServer()
+	rpc.Handle(server, s.message)
+	rpc.Handle(server, s.parcel)
+	rpc.Handle(server, s.chunk)
+	rpc.Handle(server, s.enter)
+	rpc.Handle(server, s.confirm)
+	rpc.Handle(server, s.status)
+	rpc.Handle(server, s.forget)
+	rpc.Handle(server, s.rebuild)
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
 	return s.run(ctx)
@@ -154,7 +154,7 @@
 			s.log.Warn().Msg("ends though the chain can't do without it")
 			return s.close()
 		case <-figures.C:
-			s.log.Info().Interface("counts", s.counts).Interface("sent", traverse.Sent()).Int64("diskBytes", s.size).Str("status", s.standing()).
+			s.log.Info().Interface("counts", s.counts).Interface("sent", rpc.Sent()).Int64("diskBytes", s.size).Str("status", s.standing()).
 				Msg("figures")
 			continue
 		case s.from = <-s.seeds:
@@ -284,11 +284,11 @@
 	s.mu.Lock()
 	p := s.peers[m.To.Addr]
 	if p == nil {
-		p = traverse.NewPeer(m.To.Addr)
+		p = rpc.NewPeer(m.To.Addr)
 		s.peers[m.To.Addr] = p
 	}
 	s.mu.Unlock()
-	if traverse.Tell(p, *m) != nil {
+	if rpc.Tell(p, *m) != nil {
 		s.counts.Unsent++
 	}
 }
@@ -314,7 +314,7 @@
 	select {
 	case s.events <- e:
 	default:
-		return result{}, traverse.Errorf(traverse.Busy, "the store has too much to do")
+		return result{}, rpc.Errorf(rpc.Busy, "the store has too much to do")
 	}
 	late := time.NewTimer(most)
 	defer late.Stop()
@@ -324,22 +324,22 @@
 		case cairn.OK:
 			return r, nil
 		case cairn.Unavailable:
-			return r, traverse.Errorf(traverse.Unavailable, "the chain takes nothing now")
+			return r, rpc.Errorf(rpc.Unavailable, "the chain takes nothing now")
 		case cairn.Overtaken:
-			return r, traverse.Errorf(traverse.Stale, "the zone was changed meanwhile")
+			return r, rpc.Errorf(rpc.Stale, "the zone was changed meanwhile")
 		case cairn.Refused:
-			return r, traverse.Errorf(traverse.Conflict, "another order is committed under this number")
+			return r, rpc.Errorf(rpc.Conflict, "another order is committed under this number")
 		}
-		return r, traverse.Errorf(traverse.Unknown, "the chain did not answer in time")
+		return r, rpc.Errorf(rpc.Unknown, "the chain did not answer in time")
 	case <-late.C:
 	case <-ctx.Done():
 	}
-	return result{}, traverse.Errorf(traverse.Unknown, "the chain did not answer in time")
+	return result{}, rpc.Errorf(rpc.Unknown, "the chain did not answer in time")
 }
 
 func (s *Store) enter(ctx context.Context, q waymark.Enter) (waymark.Entered, error) {
 	if len(q.Change.Body) > mostChange {
-		return waymark.Entered{}, traverse.Errorf(traverse.Invalid, "a change of %d bytes", len(q.Change.Body))
+		return waymark.Entered{}, rpc.Errorf(rpc.Invalid, "a change of %d bytes", len(q.Change.Body))
 	}
 	id := s.lastID.Add(1)
 	_, err := s.put(ctx, event{Event: cairn.Event{Submit: &cairn.Submit{ID: id, Change: q.Change, After: q.After}}, id: id})
@@ -444,7 +444,7 @@
 	case c := <-got:
 		return c, nil
 	case <-ctx.Done():
-		return waymark.Confirmed{}, traverse.Errorf(traverse.Unknown, "the loop did not answer")
+		return waymark.Confirmed{}, rpc.Errorf(rpc.Unknown, "the loop did not answer")
 	}
 }
 
@@ -466,6 +466,6 @@
 	case st := <-got:
 		return st, nil
 	case <-ctx.Done():
-		return waymark.Status{}, traverse.Errorf(traverse.Unknown, "the loop did not answer")
+		return waymark.Status{}, rpc.Errorf(rpc.Unknown, "the loop did not answer")
 	}
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/cairn"
 	"foxwood/internal/recordlog"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -43,7 +43,7 @@
 }
 
 // settings are those of a machine whose first start has the seeds' machines; none but itself else.
-func settings(t *testing.T, seeds ...string) *trailhead.Settings {
+func settings(t *testing.T, seeds ...string) *bootconfig.Settings {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	assert.NilError(t, err)
@@ -52,12 +52,12 @@
 	if seeds == nil {
 		seeds = []string{"127.0.0.1:1"}
 	}
-	return &trailhead.Settings{Station: "s", IP: "127.0.0.1", InnerDocks: []int{port - dock, port}, FirstStations: seeds, FirstRun: true,
+	return &bootconfig.Settings{Station: "s", IP: "127.0.0.1", InnerDocks: []int{port - dock, port}, FirstStations: seeds, FirstRun: true,
 		ArchiveDir: t.TempDir()}
 }
 
 // open makes a store on a disk with a hook.
-func open(t *testing.T, set *trailhead.Settings, sync func() error) *Store {
+func open(t *testing.T, set *bootconfig.Settings, sync func() error) *Store {
 	t.Helper()
 	s, err := newOn(func(dir string) (journal, [][]byte, error) {
 		j, records, err := recordlog.Open(dir)
@@ -104,7 +104,7 @@
 		if err == nil {
 			return
 		}
-		if k := traverse.KindOf(err); time.Now().After(until) || k != traverse.Unavailable && k != traverse.Unknown {
+		if k := rpc.KindOf(err); time.Now().After(until) || k != rpc.Unavailable && k != rpc.Unknown {
 			t.Fatal(err)
 		}
 	}
@@ -162,17 +162,17 @@
 	assert.Assert(t, again.State == nil)
 	assert.Equal(t, again.Last, c.Last)
 	_, err := s.enter(t.Context(), waymark.Enter{Change: cairn.Change{Body: make([]byte, mostChange+1)}})
-	assert.Equal(t, traverse.KindOf(err), traverse.Invalid)
+	assert.Equal(t, rpc.KindOf(err), rpc.Invalid)
 }
 
 // TestNothingIsSaidBeforeTheSync: at the moment of a sync nothing of its step has gone out or
 // been answered, and where the sync fails nothing ever is.
 func TestNothingIsSaidBeforeTheSync(t *testing.T) {
 	heard := make(chan cairn.Message, 9)
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server := traverse.NewServer()
-	traverse.Handle(server, func(_ context.Context, m cairn.Message) (waymark.AskStatus, error) {
+	server := rpc.NewServer()
+	rpc.Handle(server, func(_ context.Context, m cairn.Message) (waymark.AskStatus, error) {
 		heard <- m
 		return waymark.AskStatus{}, nil
 	})
@@ -253,8 +253,8 @@
 	_, err = lone.confirm(t.Context(), waymark.Confirm{})
 	assert.Assert(t, err != nil, "without the others there is no word of a tail")
 	_, err = lone.enter(t.Context(), configuration(1))
-	k := traverse.KindOf(err)
-	assert.Assert(t, err != nil && (k == traverse.Unavailable || k == traverse.Unknown), "%v", err)
+	k := rpc.KindOf(err)
+	assert.Assert(t, err != nil && (k == rpc.Unavailable || k == rpc.Unknown), "%v", err)
 }
 
 // TestAFullQueueIsBusy at once: a caller can go to another machine.
@@ -267,13 +267,13 @@
 	_, err := s.message(t.Context(), cairn.Message{}) // is lost, and holds nobody up
 	assert.NilError(t, err)
 	_, err = s.enter(t.Context(), configuration(1))
-	assert.Equal(t, traverse.KindOf(err), traverse.Busy)
+	assert.Equal(t, rpc.KindOf(err), rpc.Busy)
 	_, err = s.confirm(t.Context(), waymark.Confirm{})
-	assert.Equal(t, traverse.KindOf(err), traverse.Busy)
+	assert.Equal(t, rpc.KindOf(err), rpc.Busy)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = s.confirm(ctx, waymark.Confirm{Recall: true})
-	assert.Equal(t, traverse.KindOf(err), traverse.Unknown)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unknown)
 }
 
 // TestADiskIsNeeded, and one that can't be read is named.
@@ -299,7 +299,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, f.Core, []string{set.Inner(dock)})
 	_, err = s.forget(t.Context(), waymark.Forget{Addr: set.Inner(dock)})
-	assert.Equal(t, traverse.KindOf(err), traverse.Unavailable)
+	assert.Equal(t, rpc.KindOf(err), rpc.Unavailable)
 	assert.NilError(t, end())
 	assert.Assert(t, s.counts.Submits >= 1 && s.counts.Asks >= 1)
 }
--- a/internal/switchback/bulletin.go
+++ b/internal/switchback/bulletin.go
@@ -9,7 +9,7 @@
 
 	"foxwood/internal/bulletin"
 	"foxwood/internal/membership"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -41,7 +41,7 @@
 func (h *herald) round() {
 	p := h.p
 	var near []string
-	peers := map[string]*traverse.Peer{}
+	peers := map[string]*rpc.Peer{}
 	p.relay.do(func(float64) {
 		near = slices.Clone(p.relay.near)
 		for _, at := range near {
@@ -63,7 +63,7 @@
 			if home == self {
 				h.desk(s.name).Hear(now, self, q.Sights)
 			} else if to := peers[home]; to != nil {
-				calls = append(calls, func() { _ = traverse.Tell(to, q) })
+				calls = append(calls, func() { _ = rpc.Tell(to, q) })
 			}
 		}
 		if home != self {
@@ -74,7 +74,7 @@
 				h.counts.Issued++
 				h.post(waymark.Posted{Destination: s.name, Issue: issue})
 				for _, to := range peers {
-					calls = append(calls, func() { _ = traverse.Tell(to, waymark.Posted{Destination: s.name, Issue: issue}) })
+					calls = append(calls, func() { _ = rpc.Tell(to, waymark.Posted{Destination: s.name, Issue: issue}) })
 				}
 			}
 		}
--- a/internal/switchback/leaving_test.go
+++ b/internal/switchback/leaving_test.go
@@ -145,3 +145,52 @@
 		before = left
 	}
 }
+
+// TestAReloadEndsNothing: settings that are read again leave requests under way, and connections between two, as they are.
+func TestAReloadEndsNothing(t *testing.T) {
+	t.Parallel()
+	s := open(t)
+	got, release := make(chan *seen, 9), make(chan bool)
+	held := func(n int, r *seen) bool {
+		if r.URL.Path == "/held" {
+			<-release
+		}
+		return served(n, r)
+	}
+	s.hear(roll(1, employ(t, "w-1", "a", held, got)), table(t, 1, []course{{prefix: "/", to: "a", unsafe: true}}))
+	c, kept := s.dial(), s.dial()
+	res, _ := kept.send(request("POST", "/kept", "", "")).get()
+	assert.Equal(t, res.StatusCode, 200)
+	next(t, got)
+	c.send(request("POST", "/held", "", ""))
+	next(t, got)
+	set := *s.set
+	set.FirstStations = []string{"127.0.0.1:2"}
+	s.Reload(&set)
+	release <- true
+	res, _ = c.get()
+	assert.Equal(t, res.StatusCode, 200)
+	assert.Assert(t, !res.Close)
+	res, _ = kept.send(request("POST", "/kept", "", "")).get()
+	assert.Equal(t, res.StatusCode, 200)
+}
+
+// TestARouteAddedLaterIsServed as the first ones are, whether its terms are new or those of a route that was there.
+func TestARouteAddedLaterIsServed(t *testing.T) {
+	t.Parallel()
+	s := open(t)
+	first := []course{{prefix: "/first/", to: "a"}}
+	later := append(first, course{prefix: "/alike/", to: "a"}, course{prefix: "/other/", to: "a", unsafe: true, deadline: 30, target: 20, tries: 1})
+	s.hear(roll(1, employ(t, "w-1", "a", served, nil)), table(t, 1, first))
+	for range 3 {
+		res, _ := s.ask("GET", "/first/", "", "")
+		assert.Equal(t, res.StatusCode, 200)
+	}
+	s.hear(waymark.Signed{}, table(t, 2, later))
+	for _, path := range []string{"/alike/", "/other/", "/first/"} {
+		for range 5 {
+			res, _ := s.ask("GET", path, "", "")
+			assert.Equal(t, res.StatusCode, 200, path)
+		}
+	}
+}
--- a/internal/switchback/placing_test.go
+++ b/internal/switchback/placing_test.go
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -307,10 +307,10 @@
 // inner serves a proxy's calls at an address of its own, which is then its inner one.
 func (s *stand) inner(do func(context.Context, waymark.Tokens) (waymark.Granted, error)) string {
 	s.t.Helper()
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(s.t, err)
-	server := traverse.NewServer()
-	traverse.Handle(server, do)
+	server := rpc.NewServer()
+	rpc.Handle(server, do)
 	go func() { _ = server.Serve(ln) }()
 	s.t.Cleanup(server.Close)
 	port := ln.Addr().(*net.TCPAddr).Port
@@ -423,12 +423,12 @@
 // or too many would take a floor; and their first tokens come once in a life.
 func TestFloors(t *testing.T) {
 	s := open(t)
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server := traverse.NewServer()
+	server := rpc.NewServer()
 	answers := make(chan error, 9)
 	slices := map[string]quota.Slice{"ana": {Rate: 1, Burst: 9, Floor: 1, FloorBurst: 9, Tokens: 9, Kick: 4}}
-	traverse.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
+	rpc.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
 		return waymark.Drawn{Slices: waymark.Pack(slices), Lease: 60000}, <-answers
 	})
 	go func() { _ = server.Serve(ln) }()
@@ -441,14 +441,14 @@
 		})
 		return of
 	}
-	failed := traverse.Errorf(traverse.Unavailable, "nobody has the duty")
+	failed := rpc.Errorf(rpc.Unavailable, "nobody has the duty")
 	draw := func(a error) {
 		answers <- a
 		s.draw(context.Background())
 	}
 	s.hear(waymark.Signed{}, tt)
 	s.draw(context.Background()) // without anybody to ask
-	s.on(func() { s.control = traverse.NewPeer(ln.Addr().String()) })
+	s.on(func() { s.control = rpc.NewPeer(ln.Addr().String()) })
 	draw(failed)
 	assert.Equal(t, held().Floor, 0.0, "not settled")
 	s.hear(waymark.Signed{Crowd: &waymark.Crowd{Mark: 1, Place: 1, Count: 3}}, nil)
@@ -470,13 +470,13 @@
 // where the last life's may count still.
 func TestFirstTokensOnceALife(t *testing.T) {
 	s := open(t)
-	ln, err := traverse.Listen("127.0.0.1:0")
+	ln, err := rpc.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server := traverse.NewServer()
+	server := rpc.NewServer()
 	var slices map[string]quota.Slice
-	traverse.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
+	rpc.Handle(server, func(context.Context, waymark.Draw) (waymark.Drawn, error) {
 		if slices == nil {
-			return waymark.Drawn{}, traverse.Errorf(traverse.Unavailable, "nobody has the duty")
+			return waymark.Drawn{}, rpc.Errorf(rpc.Unavailable, "nobody has the duty")
 		}
 		return waymark.Drawn{Slices: waymark.Pack(slices), Lease: 60000}, nil
 	})
@@ -485,7 +485,7 @@
 	s.hear(waymark.Signed{Settled: true, Again: true, Crowd: &waymark.Crowd{Mark: 1, Count: 3}},
 		table(t, 1, []course{{prefix: "/", to: "a"}}, sender{name: "ana", rate: 50}))
 	s.on(func() {
-		s.control = traverse.NewPeer(ln.Addr().String())
+		s.control = rpc.NewPeer(ln.Addr().String())
 		assert.Check(t, s.again)
 	})
 	// spent draws, and counts what there is beyond what the floor has filled.
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -15,13 +15,13 @@
 	"github.com/rs/zerolog"
 
 	"foxwood/gatekeeper"
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/slowstart"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -55,7 +55,7 @@
 
 // Proxy is one gatekeeper that carries traffic.
 type Proxy struct {
-	set   *trailhead.Settings
+	set   *bootconfig.Settings
 	log   zerolog.Logger
 	seed  uint64
 	life  uint64
@@ -94,7 +94,7 @@
 	tenants   *policy.Tenants
 	stays     []policy.Patience // of the clients of each course
 	turn      uint64
-	control   *traverse.Peer // the session's control gatekeeper
+	control   *rpc.Peer // the session's control gatekeeper
 	tries     *policy.Tries
 	keysTo    float64 // until when keys may be honoured, where revocations are final
 	signed    bool    // a session has stood
@@ -112,9 +112,9 @@
 	cores   []waymark.Core // beside the loop: the session's
 	named   []string       // of them, by the settings
 	away    map[string]time.Time
-	peers   map[string]*traverse.Peer
+	peers   map[string]*rpc.Peer
 	seeds   chan []string
-	drawer  *traverse.Peer // the drawing's
+	drawer  *rpc.Peer // the drawing's
 }
 
 // counts is what has happened since the start.
@@ -124,10 +124,10 @@
 }
 
 // New makes a proxy.
-func New(set *trailhead.Settings, log zerolog.Logger) (*Proxy, error) {
+func New(set *bootconfig.Settings, log zerolog.Logger) (*Proxy, error) {
 	p := &Proxy{set: set, log: log, seed: rand.Uint64(), life: rand.Uint64(), clock: gatekeeper.NewSteadyClock(clockStart),
 		pools: map[string]*pool{}, evacuated: map[string]bool{}, takenBack: map[string]float64{}, workers: map[string]*worker{}, regions: map[string]int{},
-		tenants: policy.NewTenants(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*traverse.Peer{},
+		tenants: policy.NewTenants(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*rpc.Peer{},
 		seeds: make(chan []string, 1), limits: &http1.Limits{}, patience: tokenMost, connect: connectMax}
 	b := set.Bounds
 	p.quotas = quota.BoundsOf(&b)
@@ -212,19 +212,19 @@
 		}
 		go ready.Accept(p.loop, func() *link.Client { return p.doors.Make() })
 	}
-	inner, err := traverse.Listen(p.set.Inner(0))
+	inner, err := rpc.Listen(p.set.Inner(0))
 	if err != nil {
 		return err
 	}
-	s := traverse.NewServer()
-	traverse.Handle(s, p.status)
-	traverse.Handle(s, p.granting)
-	traverse.Handle(s, p.subscribed)
-	traverse.Handle(s, p.lent)
-	traverse.Handle(s, p.gathered)
-	traverse.Handle(s, p.copies)
-	traverse.Handle(s, p.saw)
-	traverse.Handle(s, p.posted)
+	s := rpc.NewServer()
+	rpc.Handle(s, p.status)
+	rpc.Handle(s, p.granting)
+	rpc.Handle(s, p.subscribed)
+	rpc.Handle(s, p.lent)
+	rpc.Handle(s, p.gathered)
+	rpc.Handle(s, p.copies)
+	rpc.Handle(s, p.saw)
+	rpc.Handle(s, p.posted)
 	go func() { _ = s.Serve(inner) }()
 	session, end := context.WithCancel(context.Background())
 	gone := make(chan struct{})
@@ -409,7 +409,7 @@
 	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	p.log.Info().Interface("counts", p.counts).Interface("sent", traverse.Sent()).Int("open", open).Int("members", p.members).Int("workers", len(p.workers)).
+	p.log.Info().Interface("counts", p.counts).Interface("sent", rpc.Sent()).Int("open", open).Int("members", p.members).Int("workers", len(p.workers)).
 		Uint64("heapKB", m.HeapAlloc>>10).Uint64("sysKB", m.Sys>>10).Msg("figures")
 }
 
@@ -445,7 +445,7 @@
 }
 
 // Reload takes a settings file that has changed.
-func (p *Proxy) Reload(set *trailhead.Settings) {
+func (p *Proxy) Reload(set *bootconfig.Settings) {
 	select {
 	case p.seeds <- set.Seeds(0):
 	default:
--- a/internal/switchback/relay.go
+++ b/internal/switchback/relay.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"foxwood/internal/configcache"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -44,7 +44,7 @@
 	near        []string
 	knew        map[string]neighbour
 	count       int // of members
-	peers       map[string]*traverse.Peer
+	peers       map[string]*rpc.Peer
 	lost        float64 // since when no sign was good, 0 where the last one was
 	lendAt      float64
 	promised    float64 // until when a lender is waited for
@@ -58,7 +58,7 @@
 
 func newRelay() *relay {
 	return &relay{start: time.Now(), news: make(chan struct{}), configcache: configcache.New(), knew: map[string]neighbour{},
-		peers: map[string]*traverse.Peer{}}
+		peers: map[string]*rpc.Peer{}}
 }
 
 // now is milliseconds since some time before the start, so that 0 is never now.
@@ -127,10 +127,10 @@
 }
 
 // peer is a neighbour's. The lock is held.
-func (r *relay) peer(at string) *traverse.Peer {
+func (r *relay) peer(at string) *rpc.Peer {
 	p := r.peers[at]
 	if p == nil {
-		p = traverse.NewPeer(at)
+		p = rpc.NewPeer(at)
 		r.peers[at] = p
 	}
 	return p
@@ -168,7 +168,7 @@
 	r := p.relay
 	var asks map[string]waymark.Subscribe
 	var limit float64
-	peers := map[string]*traverse.Peer{}
+	peers := map[string]*rpc.Peer{}
 	r.do(func(now float64) {
 		var bulk int
 		asks, bulk = r.configcache.Plan(now, configcache.Zone{Name: p.set.Zone, Self: p.set.Inner(0), Ready: p.isReady.Load(), Near: r.near})
@@ -186,7 +186,7 @@
 	for at, q := range asks {
 		all.Go(func() {
 			q.Wait = limit
-			got, err := traverse.Call[waymark.Subscribe, waymark.Subscribed](ctx, peers[at], q)
+			got, err := rpc.Call[waymark.Subscribe, waymark.Subscribed](ctx, peers[at], q)
 			r.do(func(now float64) { // cold times count from now, not from after the reading
 				r.configcache.Stock(now, got.Parts)
 				r.changed()
@@ -221,7 +221,7 @@
 		case <-wait.C:
 			over = true
 		case <-ctx.Done():
-			return a, traverse.Errorf(traverse.Unavailable, "the caller has left")
+			return a, rpc.Errorf(rpc.Unavailable, "the caller has left")
 		}
 	}
 }
@@ -303,7 +303,7 @@
 // lendRound offers to all, where that is due.
 func (p *Proxy) lendRound(ctx context.Context) {
 	r := p.relay
-	to := map[*traverse.Peer]neighbour{}
+	to := map[*rpc.Peer]neighbour{}
 	r.do(func(now float64) {
 		if !r.isLost(now) || now < r.lendAt || r.configcache.Edition() == 0 {
 			return
@@ -321,7 +321,7 @@
 }
 
 // lend asks a neighbour what it holds, and hands over what it lacks.
-func (p *Proxy) lend(ctx context.Context, to *traverse.Peer, n neighbour) {
+func (p *Proxy) lend(ctx context.Context, to *rpc.Peer, n neighbour) {
 	r := p.relay
 	var offer waymark.Lend
 	r.do(func(float64) {
@@ -329,7 +329,7 @@
 		offer.Place, offer.Count = n.place, r.count
 	})
 	ask, cancel := context.WithTimeout(ctx, lendAsk)
-	h, err := traverse.Call[waymark.Lend, waymark.Lent](ask, to, offer)
+	h, err := rpc.Call[waymark.Lend, waymark.Lent](ask, to, offer)
 	cancel()
 	if err != nil || h.Later {
 		return
@@ -345,7 +345,7 @@
 	}
 	ctx, cancel = context.WithTimeout(ctx, lendMost)
 	defer cancel()
-	if _, err = traverse.Call[waymark.Lend, waymark.Lent](ctx, to, give); err == nil {
+	if _, err = rpc.Call[waymark.Lend, waymark.Lent](ctx, to, give); err == nil {
 		p.log.Info().Str("to", to.Addr()).Msg("has lent what it holds")
 	}
 }
--- a/internal/switchback/relay_test.go
+++ b/internal/switchback/relay_test.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/configcache"
 	"foxwood/internal/membership"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -27,7 +27,7 @@
 	mu    sync.Mutex
 	say   map[string]waymark.Signed // what the bothy answers, by station
 	heard map[string][]waymark.Sign
-	bothy *traverse.Server
+	bothy *rpc.Server
 }
 
 const theBothy = "127.0.0.9"
@@ -40,11 +40,11 @@
 
 func newValley(t *testing.T) *valley {
 	v := &valley{t: t, say: map[string]waymark.Signed{}, heard: map[string][]waymark.Sign{}}
-	ln, err := traverse.Listen(theBothy + ":0")
+	ln, err := rpc.Listen(theBothy + ":0")
 	assert.NilError(t, err)
 	v.dock = ln.Addr().(*net.TCPAddr).Port
-	v.bothy = traverse.NewServer()
-	traverse.Handle(v.bothy, func(_ context.Context, q waymark.Sign) (waymark.Signed, error) {
+	v.bothy = rpc.NewServer()
+	rpc.Handle(v.bothy, func(_ context.Context, q waymark.Sign) (waymark.Signed, error) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.heard[q.Member.Station] = append(v.heard[q.Member.Station], q)
@@ -58,19 +58,19 @@
 func (v *valley) at(n int) string { return fmt.Sprintf("127.0.0.%d:%d", 10+n, v.dock) }
 
 // start starts the n-th gatekeeper, with nothing.
-func (v *valley) start(n int, final bool) (*Proxy, *traverse.Server) {
+func (v *valley) start(n int, final bool) (*Proxy, *rpc.Server) {
 	v.t.Helper()
-	set := &trailhead.Settings{Station: fmt.Sprint("g", n), Zone: "z", Region: "r", IP: fmt.Sprint("127.0.0.", 10+n),
+	set := &bootconfig.Settings{Station: fmt.Sprint("g", n), Zone: "z", Region: "r", IP: fmt.Sprint("127.0.0.", 10+n),
 		InnerDocks: []int{v.dock, v.dock + 1}, FirstStations: []string{theBothy + ":1"},
-		SizeLimits: trailhead.SizeLimits{Handles: 1000}}
+		SizeLimits: bootconfig.SizeLimits{Handles: 1000}}
 	set.Bounds.RevocationFinal, set.Bounds.RevokeS = final, 5
 	p, err := New(set, zerolog.Nop())
 	assert.NilError(v.t, err)
-	ln, err := traverse.Listen(set.Inner(0))
+	ln, err := rpc.Listen(set.Inner(0))
 	assert.NilError(v.t, err)
-	s := traverse.NewServer()
-	traverse.Handle(s, p.subscribed)
-	traverse.Handle(s, p.lent)
+	s := rpc.NewServer()
+	rpc.Handle(s, p.subscribed)
+	rpc.Handle(s, p.lent)
 	go func() { _ = s.Serve(ln) }()
 	v.t.Cleanup(s.Close)
 	return p, s
@@ -114,7 +114,7 @@
 
 // both has two gatekeepers hold edition 1 and a worker, and know each other; it gives first the
 // home of the workers, then the other one.
-func (v *valley) both(final bool) (home, other *Proxy, homeInner *traverse.Server) {
+func (v *valley) both(final bool) (home, other *Proxy, homeInner *rpc.Server) {
 	a, sa := v.start(0, final)
 	b, sb := v.start(1, final)
 	m, parts := roster(1, 0, "w1")
@@ -146,13 +146,13 @@
 
 // TestTheBothyGivesWhatTheHomeDoesNot: the home has died, or has lost the core and holds less.
 func TestTheBothyGivesWhatTheHomeDoesNot(t *testing.T) {
-	for name, spoil := range map[string]func(*Proxy, *traverse.Server){
-		"dead": func(_ *Proxy, s *traverse.Server) { s.Close() },
-		"cut from the core": func(p *Proxy, _ *traverse.Server) {
+	for name, spoil := range map[string]func(*Proxy, *rpc.Server){
+		"dead": func(_ *Proxy, s *rpc.Server) { s.Close() },
+		"cut from the core": func(p *Proxy, _ *rpc.Server) {
 			p.relay.start = p.relay.start.Add(-time.Second)
 			p.relay.signed(1, false)
 		},
-		"behind": func(*Proxy, *traverse.Server) {},
+		"behind": func(*Proxy, *rpc.Server) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := newValley(t)
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -8,8 +8,8 @@
 
 	"foxwood/internal/membership"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -33,7 +33,7 @@
 	to := p.choose()
 	peer := p.peers[to]
 	if peer == nil {
-		peer = traverse.NewPeer(to)
+		peer = rpc.NewPeer(to)
 		p.peers[to] = peer
 	}
 	var q waymark.Sign
@@ -45,7 +45,7 @@
 	})
 	began := p.relay.now()
 	call, cancel := context.WithTimeout(ctx, callMost)
-	a, err := traverse.Call[waymark.Sign, waymark.Signed](call, peer, q)
+	a, err := rpc.Call[waymark.Sign, waymark.Signed](call, peer, q)
 	cancel()
 	p.relay.signed(began, err == nil && !a.Stale)
 	p.on(func() {
@@ -306,7 +306,7 @@
 func (p *Proxy) draw(ctx context.Context) {
 	var q waymark.Draw
 	var asked float64
-	var peer *traverse.Peer
+	var peer *rpc.Peer
 	p.on(func() {
 		peer = p.control
 		if p.table == nil || peer == nil {
@@ -341,9 +341,9 @@
 		if p.drawer != nil {
 			p.drawer.Close()
 		}
-		p.drawer = traverse.NewPeer(peer.Addr())
+		p.drawer = rpc.NewPeer(peer.Addr())
 	}
-	a, err := traverse.Call[waymark.Draw, waymark.Drawn](call, p.drawer, q)
+	a, err := rpc.Call[waymark.Draw, waymark.Drawn](call, p.drawer, q)
 	p.on(func() {
 		p.counts.Draws++
 		if err != nil {
@@ -395,17 +395,17 @@
 // a second yet, and the directory would go on naming it.
 func (p *Proxy) announce() {
 	var q waymark.Sign
-	var to *traverse.Peer
+	var to *rpc.Peer
 	p.on(func() { q, to = p.question(), p.control })
 	if to == nil {
 		return
 	}
 	q.Wait = 0
-	peer := traverse.NewPeer(to.Addr())
+	peer := rpc.NewPeer(to.Addr())
 	defer peer.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), callMost)
 	defer cancel()
-	_, _ = traverse.Call[waymark.Sign, waymark.Signed](ctx, peer, q)
+	_, _ = rpc.Call[waymark.Sign, waymark.Signed](ctx, peer, q)
 }
 
 // farewell tells the control gatekeeper that the session is over.
@@ -416,6 +416,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	if peer := p.peers[p.choose()]; peer != nil {
-		_, _ = traverse.Call[waymark.Sign, waymark.Signed](ctx, peer, q)
+		_, _ = rpc.Call[waymark.Sign, waymark.Signed](ctx, peer, q)
 	}
 }
--- a/internal/switchback/shadow.go
+++ b/internal/switchback/shadow.go
@@ -17,9 +17,9 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
+	"foxwood/internal/rpc"
 	"foxwood/internal/spur"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 )
 
@@ -107,7 +107,7 @@
 	spur  *spur.Spur
 	left  time.Duration // of the processor time allowed
 	since time.Time     // when that was last counted
-	peers map[string]*traverse.Peer
+	peers map[string]*rpc.Peer
 	out   int // copies on their way to shadows
 	said  spur.Status
 
@@ -122,7 +122,7 @@
 
 func (p *Proxy) copyBy(now func() float64) {
 	s := &shadows{p: p, now: now, notes: make(chan note, shadowNotes), since: time.Now(), left: shadowBurst,
-		peers: map[string]*traverse.Peer{}, bell: make(chan struct{}, 1)}
+		peers: map[string]*rpc.Peer{}, bell: make(chan struct{}, 1)}
 	s.room = max(int64(p.set.SizeLimits.MemoryMB)<<20/shadowPart, shadowLeast) / 2 // one half waits, the other is the keeper's
 	s.spur = spur.New(spur.Config{Self: spur.Seat{Station: p.set.Station, Life: p.life, Region: p.set.Region, Inner: p.set.Inner(0)},
 		Now: s.now(), Room: int(s.room)})
@@ -552,13 +552,13 @@
 	s.mu.Lock()
 	peer := s.peers[q.To.Inner]
 	if peer == nil {
-		peer = traverse.NewPeer(q.To.Inner)
+		peer = rpc.NewPeer(q.To.Inner)
 		s.peers[q.To.Inner] = peer
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, gatherMost)
 	defer cancel()
-	a, err := traverse.Call[waymark.Gather, waymark.Gathered](ctx, peer, waymark.Gather{Ask: q})
+	a, err := rpc.Call[waymark.Gather, waymark.Gathered](ctx, peer, waymark.Gather{Ask: q})
 	s.work(func() {
 		if err != nil {
 			peer.Close() // the next is asked on another connection, if there is a next
@@ -577,11 +577,11 @@
 func (p *Proxy) gathered(_ context.Context, q waymark.Gather) (a waymark.Gathered, err error) {
 	s := p.shadow
 	if s == nil {
-		return a, traverse.Errorf(traverse.Unavailable, "it copies nothing")
+		return a, rpc.Errorf(rpc.Unavailable, "it copies nothing")
 	}
 	s.work(func() {
 		if s.left < shadowDebt {
-			err = traverse.Errorf(traverse.Busy, "it has worked on copies for long enough")
+			err = rpc.Errorf(rpc.Busy, "it has worked on copies for long enough")
 			return
 		}
 		a.Answer = s.spur.Answer(s.now(), q.Ask)
--- a/internal/switchback/shed.go
+++ b/internal/switchback/shed.go
@@ -15,9 +15,9 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/http1"
 	"foxwood/internal/link"
+	"foxwood/internal/rpc"
 	"foxwood/internal/snowline"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -383,10 +383,10 @@
 		return
 	}
 	s := p.shed
-	var peer *traverse.Peer
+	var peer *rpc.Peer
 	for ctx.Err() == nil {
 		began := time.Now()
-		var to *traverse.Peer
+		var to *rpc.Peer
 		var q waymark.Strain
 		var asked float64
 		p.on(func() {
@@ -399,10 +399,10 @@
 				if peer != nil {
 					peer.Close()
 				}
-				peer = traverse.NewPeer(to.Addr())
+				peer = rpc.NewPeer(to.Addr())
 			}
 			call, cancel := context.WithTimeout(ctx, reportMost)
-			a, err := traverse.Call[waymark.Strain, waymark.Eased](call, peer, q)
+			a, err := rpc.Call[waymark.Strain, waymark.Eased](call, peer, q)
 			cancel()
 			p.on(func() {
 				if err != nil {
--- a/internal/switchback/stand_test.go
+++ b/internal/switchback/stand_test.go
@@ -16,9 +16,9 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/link"
 	"foxwood/internal/timetable"
-	"foxwood/internal/trailhead"
 	"foxwood/internal/waymark"
 )
 
@@ -55,7 +55,7 @@
 	for i := range bounds {
 		bounds[i] = `"` + bounds[i] + `"`
 	}
-	set, err := trailhead.Parse(fmt.Appendf(nil, boot, strings.Join(bounds, ", ")))
+	set, err := bootconfig.Parse(fmt.Appendf(nil, boot, strings.Join(bounds, ", ")))
 	assert.NilError(t, err)
 	p, err := New(set, zerolog.Nop())
 	assert.NilError(t, err)
--- a/internal/switchback/tokens.go
+++ b/internal/switchback/tokens.go
@@ -7,8 +7,8 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/link"
 	"foxwood/internal/quota"
+	"foxwood/internal/rpc"
 	"foxwood/internal/timetable"
-	"foxwood/internal/traverse"
 	"foxwood/internal/waymark"
 	"foxwood/policy"
 )
@@ -37,7 +37,7 @@
 
 // asker asks one home, one call at a time: what comes meanwhile goes with the next.
 type asker struct {
-	peer  *traverse.Peer
+	peer  *rpc.Peer
 	busy  bool
 	away  float64 // left alone until then
 	queue []*asking
@@ -177,7 +177,7 @@
 		}
 		s := p.askers[addr]
 		if s == nil && addr != "" {
-			s = &asker{peer: traverse.NewPeer(addr)}
+			s = &asker{peer: rpc.NewPeer(addr)}
 			p.askers[addr] = s
 		}
 		if s != nil && now >= s.away {
@@ -209,7 +209,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.patience)
 		defer cancel()
-		got, err := traverse.Call[waymark.Tokens, waymark.Granted](ctx, s.peer, q)
+		got, err := rpc.Call[waymark.Tokens, waymark.Granted](ctx, s.peer, q)
 		p.loop.Post(func() {
 			s.busy = false
 			if err != nil {
@@ -265,7 +265,7 @@
 	p.on(func() {
 		now := p.micros()
 		if p.tenants.Lease(now) <= 0 || p.draining {
-			err = traverse.Errorf(traverse.Unavailable, "no lease")
+			err = rpc.Errorf(rpc.Unavailable, "no lease")
 			return
 		}
 		for tenant, n := range q.Wanted {
--- a/internal/whiteout/child.go
+++ b/internal/whiteout/child.go
@@ -9,19 +9,19 @@
 
 	"github.com/rs/zerolog"
 
+	"foxwood/internal/bootconfig"
 	"foxwood/internal/bothy"
-	"foxwood/internal/signpost"
+	"foxwood/internal/cli"
+	"foxwood/internal/rpc"
 	"foxwood/internal/snowline"
 	"foxwood/internal/store"
 	"foxwood/internal/switchback"
-	"foxwood/internal/trailhead"
-	"foxwood/internal/traverse"
 )
 
 // child is one process of the system, as its own program would start it. SIGUSR1 cuts it off
 // from the others, SIGUSR2 joins it again.
 func child(program, mode string) int {
-	set, err := trailhead.Read()
+	set, err := bootconfig.Read()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -35,10 +35,10 @@
 }
 
 // childOf serves, with what gatekeepers and bothies do besides.
-func childOf(program string, set *trailhead.Settings, gate func(*switchback.Proxy), core func(*bothy.Bothy), duties ...string) int {
+func childOf(program string, set *bootconfig.Settings, gate func(*switchback.Proxy), core func(*bothy.Bothy), duties ...string) int {
 	var err error
 	log := zerolog.New(os.Stderr).With().Str("program", program).Str("station", set.Station).Logger()
-	var r signpost.Runner
+	var r cli.Runner
 	switch program {
 	case "cairn":
 		r, err = store.New(set, log)
@@ -67,7 +67,7 @@
 	signal.Notify(cuts, syscall.SIGUSR1, syscall.SIGUSR2)
 	go func() {
 		for s := range cuts {
-			traverse.Isolate(s == syscall.SIGUSR1)
+			rpc.Isolate(s == syscall.SIGUSR1)
 		}
 	}()
 	go orphaned(stop)
--- a/internal/whiteout/cluster.go
+++ b/internal/whiteout/cluster.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -267,11 +267,11 @@
 }
 
 func ask(inner string) (string, error) {
-	p := traverse.NewPeer(inner)
+	p := rpc.NewPeer(inner)
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s, err := traverse.Call[waymark.AskStatus, waymark.Status](ctx, p, waymark.AskStatus{})
+	s, err := rpc.Call[waymark.AskStatus, waymark.Status](ctx, p, waymark.AskStatus{})
 	return strings.Join(s.Lines, "\n"), err
 }
 
--- a/internal/whiteout/copies.go
+++ b/internal/whiteout/copies.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"foxwood/internal/traverse"
+	"foxwood/internal/rpc"
 	"foxwood/internal/waymark"
 )
 
@@ -229,9 +229,9 @@
 // copyCounts is the sum of what gatekeepers say.
 func (c *cluster) copyCounts() (sum waymark.Copies) {
 	for i, g := range c.gates {
-		p := traverse.NewPeer(g.inner)
+		p := rpc.NewPeer(g.inner)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		a, err := traverse.Call[waymark.AskCopies, waymark.Copies](ctx, p, waymark.AskCopies{})
+		a, err := rpc.Call[waymark.AskCopies, waymark.Copies](ctx, p, waymark.AskCopies{})
 		cancel()
 		p.Close()
 		if err != nil { // on a busy machine: what it said last
