--- a/internal/bothy/coldstart_test.go
+++ b/internal/bothy/coldstart_test.go
@@ -547,33 +547,31 @@
 	return w.broken
 }
 
-// TestColdWorkersAreNotFlooded plays drawn troubles: no second holds more than what gatekeepers are to use of the rule's
-// bound, and cold workers get their part all the same.
-func TestColdWorkersAreNotFlooded(t *testing.T) {
-	served := 0
+// playsSound plays a few seeds of drawn troubles, and gives how many requests cold workers got. No second may hold more than
+// what gatekeepers are to use of the rule's bound.
+func playsSound(t *testing.T, draw func(*coldWorld) []simEvent) (served int) {
+	t.Helper()
 	for seed := range uint64(simSeeds) {
 		w := newColdWorld(t, seed, noColdFault)
-		broken := w.play(w.trouble())
+		broken := w.play(draw(w))
 		assert.Assert(t, len(broken) == 0, "seed %d: %v", seed, broken)
 		assert.Assert(t, w.most <= simBudget, "seed %d: %d in a second", seed, w.most)
 		served += w.served
 	}
+	return served
+}
+
+// TestColdWorkersAreNotFlooded plays drawn troubles; cold workers get their part all the same.
+func TestColdWorkersAreNotFlooded(t *testing.T) {
+	served := playsSound(t, (*coldWorld).trouble)
 	assert.Assert(t, served > simSeeds*80, "%d requests", served)
 }
 
 // TestColdWorkersWhileTheCoreIsHalved: the sum of what gatekeepers send a cold worker holds also where they ask both
 // halves of a core that is cut in two.
 func TestColdWorkersWhileTheCoreIsHalved(t *testing.T) {
-	served := 0
-	for seed := range uint64(simSeeds) {
-		w := newColdWorld(t, seed, noColdFault)
-		broken := w.play(w.halved())
-		assert.Assert(t, len(broken) == 0, "seed %d: %v", seed, broken)
-		assert.Assert(t, w.most <= simBudget, "seed %d: %d in a second", seed, w.most)
-		served += w.served
-	}
-	assert.Assert(t, served > 0)
-	t.Logf("%d requests", served)
+	served := playsSound(t, (*coldWorld).halved)
+	assert.Assert(t, served > simSeeds*80, "%d requests", served)
 }
 
 // TestTheFloodCheckBites: each fault is noticed in one of a few seeds.
