The simulated core has one way to cut it apart and one to heal it

partition and heal of the halves' tests stood beside the same loops in the world's troubles; these call them now.

--- a/internal/bothy/relay_test.go
+++ b/internal/bothy/relay_test.go
@@ -73,9 +73,9 @@
 		now, term := 0.0, uint64(1)
 		bothies := []*Bothy{{roster: newRoster()}, {roster: newRoster()}}
 		names := []string{"g1", "g2", "g3", "g4"}
-		larders := map[string]*configcache.Cache{}
+		caches := map[string]*configcache.Cache{}
 		for _, n := range names {
-			larders[n] = configcache.New()
+			caches[n] = configcache.New()
 		}
 		list := map[string]waymark.Worker{}
 		for range 120 {
@@ -108,9 +108,9 @@
 			}
 			for _, n := range names {
 				if r.IntN(40) == 0 {
-					larders[n] = configcache.New()
+					caches[n] = configcache.New()
 				}
-				l, b := larders[n], bothies[r.IntN(2)]
+				l, b := caches[n], bothies[r.IntN(2)]
 				roll := zoned(names[r.IntN(2):]...)
 				sign := func() {
 					q := waymark.Sign{Member: membership.Member{Inner: n, Zone: "z"}}
@@ -125,7 +125,7 @@
 					err := fmt.Errorf("late")
 					if r.IntN(4) > 0 && at != n {
 						err = nil
-						l.Stock(now, larders[at].Give(now, &q).Parts)
+						l.Stock(now, caches[at].Give(now, &q).Parts)
 					}
 					l.Asked(now, at, &q, err)
 				}
--- a/internal/cairn/halves_test.go
+++ b/internal/cairn/halves_test.go
@@ -8,27 +8,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// partition cuts all paths between two groups of machines.
-func (w *world) partition(minority []*node) {
-	for _, a := range w.nodes {
-		for _, b := range w.nodes {
-			if slices.Contains(minority, a) != slices.Contains(minority, b) {
-				w.cut[[2]string{a.addr, b.addr}] = true
-			}
-		}
-	}
-}
-
-// heal joins what was cut.
-func (w *world) heal() {
-	for _, n := range w.nodes {
-		if w.isCut(n) {
-			n.back = w.now
-		}
-	}
-	clear(w.cut)
-}
-
 // untilServed is how long it takes from now until a change that is sent again and again to each running machine is
 // acknowledged there, in milliseconds.
 func (w *world) untilServed(most float64) float64 {
@@ -128,7 +107,7 @@
 	one, other := shuffled[:size], shuffled[size:]
 	w.partition(one)
 	w.run(w.now + w.rng.Float64()*1500)
-	wiped := len(w.lostDisks())
+	wiped := w.lostDisks()
 	for _, n := range one {
 		switch {
 		case w.rng.IntN(3) > 0:
@@ -152,11 +131,11 @@
 	}
 }
 
-// lostDisks is the machines that are not whole again since they lost their disk.
-func (w *world) lostDisks() (lost []*node) {
+// lostDisks is how many machines are not whole again since they lost their disk.
+func (w *world) lostDisks() (lost int) {
 	for _, n := range w.nodes {
 		if n.wiped {
-			lost = append(lost, n)
+			lost++
 		}
 	}
 	return lost
--- a/internal/cairn/world_test.go
+++ b/internal/cairn/world_test.go
@@ -500,26 +500,13 @@
 		o := w.pick()
 		w.cut[[2]string{n.addr, o.addr}], w.cut[[2]string{o.addr, n.addr}] = true, true
 	case 8: // a machine alone, or a split
-		in := map[*node]bool{n: true}
+		apart := []*node{n}
 		if w.rng.IntN(2) == 0 {
-			for _, x := range w.nodes {
-				in[x] = w.rng.IntN(2) == 0
-			}
-		}
-		for _, a := range w.nodes {
-			for _, b := range w.nodes {
-				if in[a] != in[b] {
-					w.cut[[2]string{a.addr, b.addr}] = true
-				}
-			}
+			apart = slices.DeleteFunc(slices.Clone(w.nodes), func(*node) bool { return w.rng.IntN(2) != 0 })
 		}
+		w.partition(apart)
 	case 9, 10:
-		for _, n := range w.nodes {
-			if w.isCut(n) {
-				n.back = w.now
-			}
-		}
-		clear(w.cut)
+		w.heal()
 	case 11:
 		w.freeze(n, 100+w.rng.Float64()*3000)
 	case 12:
@@ -527,6 +514,27 @@
 	}
 }
 
+// partition cuts all paths between some machines and the others.
+func (w *world) partition(apart []*node) {
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			if slices.Contains(apart, a) != slices.Contains(apart, b) {
+				w.cut[[2]string{a.addr, b.addr}] = true
+			}
+		}
+	}
+}
+
+// heal joins what was cut.
+func (w *world) heal() {
+	for _, n := range w.nodes {
+		if w.isCut(n) {
+			n.back = w.now
+		}
+	}
+	clear(w.cut)
+}
+
 func (w *world) freeze(n *node, d float64) {
 	n.frozen, n.back = w.now+d, w.now+d
 	w.after(d+0.001, func() { w.work(n) })
