Figures by tenant, by kind of request and by what a quota lacked; the allotter's work

Sight for docs/incidents/quota-starvation.md: hypotheses 1 and 2 could not be told apart, 3 not be seen. No decision is changed. The soak sums the figures of all processes up and names gatekeepers that refuse everything.

--- a/internal/bothy/bothy.go
+++ b/internal/bothy/bothy.go
@@ -124,6 +124,7 @@
 // counts is what has happened since the start.
 type counts struct {
 	Signs, Resolves, Puts, Refused, Conflicts, Failed, Polls, PollsFailed, Confirms, ConfirmsFailed, Draws, Probes uint64
+	DutiesWon, DutiesLost, AllotNanos                                                                              uint64
 }
 
 // New makes a bothy. It also stands for the duties named.
--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -198,7 +198,9 @@
 		demand[name] = float64(d)
 	}
 	id := memberID(q.Station, q.Life)
+	began := time.Now()
 	got := b.allot.Ask(now, id, q.Turn, demand, waymark.Unpack(q.Holding), q.LeaseLeft)
+	b.counts.AllotNanos += uint64(time.Since(began))
 	if got == nil {
 		return waymark.Drawn{}, rpc.Errorf(rpc.Stale, "an asking that was overtaken")
 	}
@@ -245,6 +247,7 @@
 func (b *Bothy) duties(out election.Out) {
 	for _, d := range out.Won {
 		b.log.Info().Str("duty", d.Duty).Uint64("term", d.Term).Float64("vacantMs", d.VacantMs).Msg("won")
+		b.counts.DutiesWon++
 		b.levelDuty(d.Duty, d.Term, true)
 		if d.Duty == dutySlices {
 			b.allot.Begin(b.now(), d.VacantMs)
@@ -258,6 +261,7 @@
 		}
 	}
 	for _, d := range out.Lost {
+		b.counts.DutiesLost++
 		b.levelDuty(d.Duty, d.Term, false)
 		b.log.Info().Str("duty", d.Duty).Uint64("term", d.Term).Msg("lost")
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -117,6 +117,7 @@
 	ended   map[string][]string // lives of a station that are over
 	count   int                 // gatekeepers whose floors count
 	needs   []float64
+	looked  uint64
 }
 
 // New makes an allotter that has not begun.
@@ -366,8 +367,12 @@
 	}
 }
 
+// Looked is how often the holding of one gatekeeper of one quota was looked at: the allotter's work.
+func (a *Allotter) Looked() uint64 { return a.looked }
+
 // bound is what a gatekeeper may hold at most at a time.
 func (a *Allotter) bound(t *tenant, i int, now float64) (rate, burst float64) {
+	a.looked++
 	h := &t.holds[i]
 	rate, burst = h.floor, h.fburst
 	if !h.asked {
--- a/internal/switchback/front.go
+++ b/internal/switchback/front.go
@@ -54,6 +54,22 @@
 	copy   *copied // where it may be copied, nil else
 }
 
+// kind is what figures tell its requests by.
+func (k *try) kind() requestKind {
+	if k.pool == nil {
+		return kindOf(k.route, "")
+	}
+	return kindOf(k.route, k.pool.name)
+}
+
+// caller is the tenant whose key it has, empty for none.
+func (k *try) caller() string {
+	if k.sender == nil {
+		return ""
+	}
+	return k.sender.Name
+}
+
 // front speaks the system's protocol with clients and workers.
 type front struct {
 	p   *Proxy
@@ -109,18 +125,21 @@
 		if ok && len(key) > len(scheme) && bytes.EqualFold(key[:len(scheme)], []byte(scheme)) {
 			sender = t.Sender(bytes.TrimSpace(key[len(scheme):]))
 		}
-		switch {
-		case sender == nil && !course.Unsealed:
+		if sender == nil && !course.Unsealed {
 			p.counts.NoKey++
 			l.Reply(http.StatusUnauthorized, "WWW-Authenticate: Bearer\r\n", "no such key\n")
 			return
-		case sender != nil && !p.keysHold():
-			p.counts.NoLease++
-			p.refuse(l, http.StatusServiceUnavailable, leaseWait, "keys can't be judged now\n")
-			return
 		}
 	}
 	pool := p.destination(course)
+	k := &try{id: string(id), pool: pool, route: course, sender: sender}
+	l.Value = k
+	p.callers.read(p.clock.Now(), k.kind(), k.caller())
+	if sender != nil && !p.keysHold() {
+		p.counts.NoLease++
+		p.refuse(l, http.StatusServiceUnavailable, leaseWait, "keys can't be judged now\n")
+		return
+	}
 	if pool == nil {
 		p.refuse(l, http.StatusServiceUnavailable, leaseWait, "no such service yet\n")
 		return
@@ -131,8 +150,6 @@
 		p.refuse(l, http.StatusServiceUnavailable, noHomeWait, "the route's homes and the tenant's have no region in common\n")
 		return
 	}
-	k := &try{id: string(id), pool: pool, route: course, sender: sender}
-	l.Value = k
 	if p.shed != nil && p.shed.refuses(l, m, course, k, sender, left) {
 		return
 	}
@@ -159,9 +176,17 @@
 
 // refuse answers at once with a promise that nothing ran, and says when to come back.
 func (p *Proxy) refuse(l *link.Client, status int, after float64, text string) {
+	p.unserved(l)
 	l.Reply(status, "Retry-After: "+strconv.FormatFloat(max(after, 1)/1000, 'f', 3, 64)+"\r\n", text)
 }
 
+// unserved notes that a try ends without a worker's answer.
+func (p *Proxy) unserved(l *link.Client) {
+	if k, ok := l.Value.(*try); ok {
+		p.callers.unserved(p.clock.Now(), k.kind(), k.caller())
+	}
+}
+
 // Throttled implements link.Verdict: nothing will run. A safe request may have: what it drew on
 // its quota is gone then, and what a worker has answered is its answer.
 func (f *front) Throttled(l *link.Client, r *gatekeeper.Request, after float64) {
@@ -184,6 +209,7 @@
 func (f *front) Failed(l *link.Client, r *gatekeeper.Request) {
 	f.p.counts.Failed++
 	if !f.passOn(l, r) {
+		f.p.unserved(l)
 		l.Reply(http.StatusBadGateway, "", "no whole answer\n")
 	}
 }
--- a/internal/switchback/metrics.go
+++ b/internal/switchback/metrics.go
@@ -36,6 +36,9 @@
 		metrics.Gauge("slow_start_lease_seconds", "What is left of the lease of cold workers' budget; below 0 they get nothing.", p.slowStart.Left(now)/1000),
 		metrics.Count("sessions_failed_total", "Calls of the session with a registry that failed.", p.counts.SignsFailed),
 		metrics.Count("sessions_moved_total", "Changes of the session to another registry.", p.counts.Moves),
+		metrics.Count("quota_draws_total", "Calls for quota slices.", p.counts.Draws),
+		metrics.Gauge("quota_draw_seconds", "Time that the last answered call for quota slices took.", p.drawMs/1000),
+		metrics.Count("quota_homes_unreached_total", "Requests for whose token neither home of their tenant answered; the own bucket then decides.", p.counts.HomeUnreached),
 		metrics.Count("quota_draws_failed_total", "Calls for quota slices that failed.", p.counts.DrawsFailed),
 		metrics.Count("requests_total", "Requests of clients that were read.", p.counts.Requests),
 		metrics.Count("failures_total", "Requests that ended without an answer or a promise that they never ran.", p.counts.Failed),
@@ -47,6 +50,10 @@
 	} {
 		figures = append(figures, metrics.Count("refusals_total", "Requests refused before they were sent, by reason.", n, metrics.Label{Name: "reason", Value: reason}))
 	}
+	for cause, n := range map[string]uint64{"no_lease": p.counts.NoQuotaLease, "bucket_empty": p.counts.BucketEmpty, "home_empty": p.counts.HomeEmpty} {
+		figures = append(figures, metrics.Count("quota_refusals_total", "Requests refused for want of a quota's token, by what was lacking.", n, metrics.Label{Name: "cause", Value: cause}))
+	}
+	figures = append(figures, p.callers.figures(now)...)
 	for _, s := range p.order {
 		load, service := s.core.Load(), metrics.Label{Name: "service", Value: s.name}
 		ready, listed := s.core.Size()
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -104,6 +104,7 @@
 	again     bool    // the last life's may count still
 	draining  bool
 	counts    counts
+	callers   *callers
 	shed      *shedder // nil where nothing is shed by a level
 	shadow    *shadows // nil where nothing is copied
 	herald    *herald  // nil where beliefs are not shared
@@ -115,19 +116,20 @@
 	peers   map[string]*rpc.Peer
 	seeds   chan []string
 	drawer  *rpc.Peer // the drawing's
+	drawMs  float64   // how long the last answer to a drawing took
 }
 
 // counts is what has happened since the start.
 type counts struct {
-	Requests, Refused, Failed, OverQuota, NoHome, NoRoute, NoKey, NoLease, Bad, Foreign, NotDelivered, Misdirected uint64
-	Signs, SignsFailed, Moves, Draws, DrawsFailed, Asked, AskedInVain                                              uint64
+	Requests, Refused, Failed, OverQuota, NoQuotaLease, BucketEmpty, HomeEmpty, HomeUnreached, NoHome, NoRoute, NoKey, NoLease, Bad, Foreign, NotDelivered, Misdirected uint64
+	Signs, SignsFailed, Moves, Draws, DrawsFailed, Asked, AskedInVain                                                                                                   uint64
 }
 
 // New makes a proxy.
 func New(set *bootconfig.Settings, log zerolog.Logger) (*Proxy, error) {
 	p := &Proxy{set: set, log: log, seed: rand.Uint64(), life: rand.Uint64(), clock: gatekeeper.NewSteadyClock(clockStart),
 		pools: map[string]*pool{}, evacuated: map[string]bool{}, takenBack: map[string]float64{}, workers: map[string]*worker{}, regions: map[string]int{},
-		tenants: policy.NewTenants(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*rpc.Peer{},
+		tenants: policy.NewTenants(), callers: newCallers(), thins: map[string]*thinTenant{}, askers: map[string]*asker{}, away: map[string]time.Time{}, peers: map[string]*rpc.Peer{},
 		seeds: make(chan []string, 1), limits: &http1.Limits{}, patience: tokenMost, connect: connectMax}
 	b := set.Bounds
 	p.quotas = quota.BoundsOf(&b)
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -352,6 +352,7 @@
 			return
 		}
 		p.drawn = true
+		p.drawMs = p.clock.Now() - asked
 		p.slowStart.Take(a.SlowStart, asked, a.Lease)
 		fresh := p.clock.Now()-asked <= quota.TokensMs
 		of := make(map[string]policy.TenantSlice, len(a.Slices))
--- a/internal/switchback/tokens.go
+++ b/internal/switchback/tokens.go
@@ -84,6 +84,7 @@
 		k.drawn = true
 		p.submit(l, k, r)
 	case now < t.emptyUntil:
+		p.counts.HomeEmpty++
 		p.overQuota(l, policy.Micros((t.emptyUntil-now)*1000))
 	default:
 		p.ask(&asking{l: l, k: k, r: r, tenant: s.Name, homes: t.homes, since: now})
@@ -127,8 +128,14 @@
 }
 
 func (p *Proxy) takeHere(l *link.Client, k *try, r *gatekeeper.Request) {
-	ok, wait := p.tenants.Admit(p.micros(), k.tenant, k.again)
+	now := p.micros()
+	ok, wait := p.tenants.Admit(now, k.tenant, k.again)
 	if !ok {
+		if p.tenants.Lease(now) > 0 {
+			p.counts.BucketEmpty++
+		} else {
+			p.counts.NoQuotaLease++
+		}
 		p.overQuota(l, wait)
 		return
 	}
@@ -247,6 +254,7 @@
 			t.spare = min(t.spare+1, spareMost)
 		}
 	case here:
+		p.counts.HomeUnreached++
 		p.takeHere(a.l, a.k, a.r)
 	case ok:
 		a.k.home = true
@@ -255,6 +263,7 @@
 		if t != nil {
 			t.emptyUntil = p.clock.Now() + min(waitMs, emptyMost)
 		}
+		p.counts.HomeEmpty++
 		p.overQuota(a.l, policy.Micros(waitMs*1000))
 	}
 }
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -60,6 +60,7 @@
 		add(Recovers, "%.1f%% of %d requests were served later than %.0f s behind the last trouble", 100*s, len(late), recoverS)
 	}
 	r.starved(overall, add)
+	r.refusers(add)
 	r.answers(add)
 	r.ends(add)
 	if edition := formatEdition(r.operator.acked); r.newest < edition || len(r.newest) != len(edition) {
@@ -122,6 +123,39 @@
 	}
 }
 
+const (
+	refuserWindow = 5 * time.Second
+	refuserLeast  = 8 // tries in a window, below which a gatekeeper is not judged
+)
+
+// refusers finds gatekeepers that answered, and served nothing for a window in which most others' requests
+// were served: whoever holds connections to them gets nothing.
+func (r *Run) refusers(add func(Rule, string, ...any)) {
+	type at struct {
+		gatekeeper string
+		window     int
+	}
+	of, asked, done := map[at][]*attempt{}, map[int]int{}, map[int]int{}
+	for _, q := range r.crowd.requests {
+		for i := range q.attempts {
+			a := &q.attempts[i]
+			w := int(a.sent.Sub(r.began) / refuserWindow)
+			of[at{a.gatekeeper, w}] = append(of[at{a.gatekeeper, w}], a)
+			asked[w]++
+			if a.outcome == served {
+				done[w]++
+			}
+		}
+	}
+	for k, tries := range of {
+		all := func(o outcome) bool { return !slices.ContainsFunc(tries, func(a *attempt) bool { return a.outcome != o }) }
+		if len(tries) >= refuserLeast && 2*done[k.window] > asked[k.window] && all(refused) {
+			add(Starved, "%s refused all of %d tries from second %.0f on, others served most: %s", k.gatekeeper, len(tries),
+				float64(k.window)*refuserWindow.Seconds(), tries[0].reason)
+		}
+	}
+}
+
 // reasons tells how requests that were not served ended.
 func reasons(requests []*request) string {
 	counts := map[string]int{}
--- a/internal/testing/soak/report.go
+++ b/internal/testing/soak/report.go
@@ -16,6 +16,7 @@
 	u := &r.usage
 	fmt.Fprintf(&b, "served %.2f%% of %d requests; at most %d processes, %d MB; cores in use: %s %.2f, %s %.2f, %s %.2f\n", 100*share(all), len(all),
 		u.runningMost, u.memoryMost>>20, Proxy, u.cores(Proxy), Registry, u.cores(Registry), ConfigStore, u.cores(ConfigStore))
+	fmt.Fprintf(&b, "%s", r.figures)
 	b.WriteString("second: asked, served, median ms of those served; how others ended\n")
 	keys, of := groups(all, func(q *request) int { return int(q.at.Sub(r.began) / time.Second) })
 	for _, k := range keys {
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -51,6 +51,7 @@
 	events   []event
 	forced   []string // processes that did not end within their grace
 	usage    usage
+	figures  scraped // as the traffic ended
 	began    time.Time
 	ended    time.Time
 	newest   string // the configuration that was read back
@@ -179,6 +180,7 @@
 	r.mu.Lock()
 	r.ended = time.Now()
 	r.mu.Unlock()
+	r.figures = r.fleet.scrape()
 	r.crowd.hangUp()
 	r.readBack(ctx)
 }
