--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -148,7 +148,9 @@
 		}
 	}
 	for k, tries := range of {
-		all := func(o outcome) bool { return !slices.ContainsFunc(tries, func(a *attempt) bool { return a.outcome != o }) }
+		all := func(o outcome) bool {
+			return !slices.ContainsFunc(tries, func(a *attempt) bool { return a.outcome != o })
+		}
 		if len(tries) >= refuserLeast && 2*done[k.window] > asked[k.window] && all(refused) {
 			add(Starved, "%s refused all of %d tries from second %.0f on, others served most: %s", k.gatekeeper, len(tries),
 				float64(k.window)*refuserWindow.Seconds(), tries[0].reason)
