An asking for quota slices looks at its own quotas only

Each asking brought the pools of all quotas up to date, which looks at all members for each; for most of them the asker holds and wants nothing, so nothing changes.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -434,17 +434,18 @@
 	a.members[i].turn = turn
 	out := make(map[string]Slice, len(a.tenants))
 	for name, t := range a.tenants {
-		a.fill(t, now)
-		h, has := &t.holds[i], holding[name]
-		h.asked, h.demand, h.heard = true, demand[name], now
-		h.was, h.is = lent{has.Rate, has.Burst, now + min(leaseLeftMs, a.lease)}, lent{}
-		h.floor, h.fburst = has.Floor, has.FloorBurst
+		has, held := holding[name]
 		_, asks := demand[name]
-		_, held := holding[name]
-		if a.Homes && !asks && !held && t.store < thinTokens*float64(a.count) {
-			*h = hold{asked: true, heard: now} // it holds nothing of a thin quota, and wants nothing
+		h := &t.holds[i]
+		if apart := a.kept(t) && !asks && !held; apart && h.idle() {
+			continue // most quotas at most gatekeepers: to look at all their holders here made each asking cost the fleet
+		} else if a.fill(t, now); apart {
+			*h = hold{asked: true, heard: now} // it holds nothing of this quota, and wants nothing
 			continue
 		}
+		h.asked, h.demand, h.heard = true, demand[name], now
+		h.was, h.is = lent{has.Rate, has.Burst, now + min(leaseLeftMs, a.lease)}, lent{}
+		h.floor, h.fburst = has.Floor, has.FloorBurst
 		if t.rate > 0 {
 			s := a.grant(t, i, now, has)
 			if fresh {
@@ -456,6 +457,15 @@
 	return out
 }
 
+// kept tells that a quota is thin over so many gatekeepers, and kept by homes that the others ask.
+func (a *Allotter) kept(t *tenant) bool { return a.Homes && t.store < thinTokens*float64(a.count) }
+
+// idle tells that a gatekeeper has asked this allotter, and neither holds nor wants anything: another such asking
+// changes nothing.
+func (h *hold) idle() bool {
+	return h.asked && h.demand == 0 && h.was == lent{} && h.is == lent{} && h.floor == 0 && h.fburst == 0
+}
+
 // holds tells whether a gatekeeper was allotted anything, or took up its floors, in this life.
 func holds(holding map[string]Slice) bool {
 	for _, s := range holding {
@@ -471,7 +481,7 @@
 	freeRate, freeBurst := a.free(t, i, now)
 	freeRate, freeBurst = max(freeRate, 0), max(freeBurst, 0)
 	floor, fburst := a.floorOf(t, i)
-	if a.Homes && t.store < thinTokens*float64(a.count) && h.demand <= eps {
+	if a.kept(t) && h.demand <= eps {
 		floor, fburst = 0, 0 // its home has the use of it
 	}
 	s := Slice{Floor: min(floor, freeRate), FloorBurst: min(fburst, freeBurst)}
@@ -516,7 +526,7 @@
 	}
 	total, store = max(total, 0), max(store, 0)
 	pooled := t.pooled(a.count) * max(0, 1-total/n/poolLess)
-	if a.Homes && t.store < thinTokens*float64(a.count) { // those count that have a demand: the homes
+	if a.kept(t) { // those count that have a demand: the homes
 		if a.demandOf(t, me, now) <= eps { // what it still holds is wanted elsewhere
 			return 0, 0
 		}
@@ -562,7 +572,7 @@
 			}
 			d := a.demandOf(t, i, now)
 			need := max(headroom*d, floor)
-			if d <= eps && i != me && a.Homes && t.store < thinTokens*float64(a.count) {
+			if d <= eps && i != me && a.kept(t) {
 				need = 0
 			}
 			a.needs = append(a.needs, need)
