A first start adds several seats to the core in one view

Cause: thirty core machines joined by a view each, 0.45 s apart; for 13 s the registries' duties changed hands with the electorate and quotas were not allotted. Any number may be added by a view that a majority of the core before decides; half of it is the bound.

--- a/internal/cairn/seats.go
+++ b/internal/cairn/seats.go
@@ -3,10 +3,11 @@
 import "slices"
 
 // The core changes by agreement alone: each view names the next core, and a majority of the core before has
-// voted for it. It has a fixed number of seats, and one view changes one of them:
+// voted for it. It has a fixed number of seats, and one view changes one of them, but for the first rule:
 //
 //   - The machines of the very first start that the settings of none named add a seat each, also one that lost its
-//     disk before it had it, as long as a member knows its address from then.
+//     disk before it had it, as long as a member knows its address from then. One view may add several, up to half of the core:
+//     one by one, a core of thirty took longer to grow than clients wait for the first start.
 //   - A machine with an empty disk gets the seat of its own address.
 //   - Any other newcomer is filled and waits at the ready. It gets a seat that is free, else that of the member
 //     that nobody has heard for longest, and for Vacant at least, else that of a member that is leaving.
@@ -99,9 +100,8 @@
 	return !holds && m.now-m.peers[x].filled > m.c.Vacant && !slices.ContainsFunc(m.view.Core, seat) && m.open(x, b)
 }
 
-// newcomer is a machine outside the core that is filled and has a path with all members of the chain, and what
-// it last said.
-func (m *Machine) newcomer() (*Ident, Beat) {
+// newcomers are the machines outside the core that are filled and have a path with all members of the chain.
+func (m *Machine) newcomers() (ready []Ident) {
 	for _, x := range m.known() {
 		b, ok := m.report(x)
 		if !ok || !b.Filled || b.Leaving || slices.Contains(m.view.Core, x) || !m.live(x) {
@@ -112,41 +112,66 @@
 			near = near && (y == m.self || i >= 64 || b.Hears>>i&1 == 1 || !slices.Contains(m.view.Chain, y) || !m.live(y))
 		}
 		if near && !m.stale(x, b) {
-			return &x, b
+			ready = append(ready, x)
 		}
 	}
-	return nil, Beat{}
+	return ready
 }
 
-// seated is the next view with a chain, and with at most one seat changed.
+// withSeats are those of the newcomers behind the first that come with seats of their own, as many as may join in the same
+// view: the members of before must stay the larger part.
+func (m *Machine) withSeats(newcomers []Ident) (more []Ident) {
+	most := len(m.view.Core)/2 - 1
+	for _, x := range newcomers[1:] {
+		b, _ := m.report(x)
+		seat := func(y Ident) bool { return y.Addr == x.Addr }
+		if len(more) < most && m.bringsSeat(x, b) && !slices.ContainsFunc(m.view.Core, seat) && !slices.ContainsFunc(more, seat) && x.Addr != newcomers[0].Addr {
+			more = append(more, x)
+		}
+	}
+	return more
+}
+
+// seated is the next view with a chain, and with at most one seat changed or some seats added.
 func (m *Machine) seated(chain []Ident) View {
 	v := View{No: m.view.No + 1, Chain: chain, Core: slices.Clone(m.view.Core), Epoch: m.view.Epoch, Removed: m.view.Removed,
 		Seats: max(m.view.Seats, len(m.view.Core))}
-	join, b := m.newcomer()
-	var gone *Ident
-	if join == nil {
-		if gone = m.forgotten(); gone == nil {
-			return v
+	ready := m.newcomers()
+	if len(ready) == 0 {
+		if gone := m.forgotten(); gone != nil {
+			v.remove(*gone)
+			v.Epoch++
 		}
-	} else if i := slices.IndexFunc(v.Core, func(x Ident) bool { return x.Addr == join.Addr }); i >= 0 {
-		v.Core[i] = *join
-		v.Chain = append(slices.DeleteFunc(v.Chain, func(x Ident) bool { return x.Addr == join.Addr }), *join)
 		return v
-	} else {
-		switch gone = m.vacant(chain, m.c.Vacant); {
-		case m.bringsSeat(*join, b) || m.faults.ghosts:
-			gone, v.Seats = nil, v.Seats+1
-		case len(v.Core) < v.Seats:
-			gone = nil
-		case gone == nil:
-			return v // all are there
-		}
-		v.Chain, v.Core = append(v.Chain, *join), append(v.Core, *join)
 	}
+	join := ready[0]
+	b, _ := m.report(join)
+	if i := slices.IndexFunc(v.Core, func(x Ident) bool { return x.Addr == join.Addr }); i >= 0 {
+		v.Core[i] = join
+		v.Chain = append(slices.DeleteFunc(v.Chain, func(x Ident) bool { return x.Addr == join.Addr }), join)
+		return v
+	}
+	gone := m.vacant(chain, m.c.Vacant)
+	switch {
+	case m.bringsSeat(join, b) || m.faults.ghosts:
+		more := m.withSeats(ready)
+		v.Chain, v.Core = append(v.Chain, more...), append(v.Core, more...)
+		gone, v.Seats = nil, v.Seats+1+len(more)
+	case len(v.Core) < v.Seats:
+		gone = nil
+	case gone == nil:
+		return v // all are there
+	}
+	v.Chain, v.Core = append(v.Chain, join), append(v.Core, join)
 	if gone != nil {
-		v.Core = slices.DeleteFunc(v.Core, func(x Ident) bool { return x == *gone })
-		v.Removed++
+		v.remove(*gone)
 	}
 	v.Epoch++
 	return v
 }
+
+// remove takes a member out of the core.
+func (v *View) remove(gone Ident) {
+	v.Core = slices.DeleteFunc(v.Core, func(x Ident) bool { return x == gone })
+	v.Removed++
+}
