--- a/internal/switchback/pool.go
+++ b/internal/switchback/pool.go
@@ -38,6 +38,7 @@
 	idleMost     = 8000.0 // a link's rest, where the worker does not say
 	holdPart     = 0.22   // of the aim is a request held at most before it was ever sent
 	stepMicros   = 20000
+	idleStep     = 100000
 	leasedPart   = 0.45   // of what a cold worker bears goes to gatekeepers under leases,
 	standingPart = 0.55   // and this to those that are out of touch with the core
 	outOfTouch   = 1200.0 // milliseconds without the tail's word
@@ -91,7 +92,7 @@
 		// A number of its own from the start, whatever its place is later: gatekeepers that share one
 		// also share an order of the workers, and all use the same few.
 		Self: int(hash(p.set.Station) >> 40), Gateways: max(p.members, 1), Plans: ladder, Tick: 1000, MaxAttempts: 1, Cancel: true, RetryAfter: true,
-		Largest: 1, HoldPart: holdPart, Step: stepMicros, SafeAfter: safeAfter,
+		Largest: 1, HoldPart: holdPart, Step: stepMicros, IdleStep: idleStep, SafeAfter: safeAfter,
 		Turns: true, Learn: 1.5, Bound: policy.BoundTerms{Within: 0.8, Past: 1, Knee: 3, KneeCut: 5},
 		ColdSends: s.coldSends, Reported: true, Beliefs: p.herald != nil,
 		FurtherTry: func(int) bool { return p.tries.Take(p.micros(), name) },
--- a/policy/places.go
+++ b/policy/places.go
@@ -9,8 +9,38 @@
 // cold at any time, and a budget of further tries. Where its settings and fields are not
 // set, nothing here changes a decision.
 
-// pace is that of the housekeeping tick.
-func (g *Gateway) pace() Micros { return cmp.Or(g.set.Step, step) }
+// pace is that of the housekeeping tick. Without a request there is little to keep house for, and the ticks are most
+// of what an idle gateway costs.
+func (g *Gateway) pace() Micros {
+	if busy := g.busyPace(); len(g.reqs) > 0 || g.set.IdleStep < busy {
+		return busy
+	}
+	return g.set.IdleStep - g.now%g.set.IdleStep // at the same time as other gateways of the process
+}
+
+func (g *Gateway) busyPace() Micros { return cmp.Or(g.set.Step, step) }
+
+// armTick asks for the next tick. An earlier asking whose time is later is void then.
+func (g *Gateway) armTick(after Micros) {
+	g.tickDue = g.now + after
+	g.do.Timer(tokenTick<<32, after)
+}
+
+// busyTick brings a tick forward that was asked for while there was no request.
+func (g *Gateway) busyTick() {
+	if g.set.IdleStep > 0 && g.tickDue-g.now > g.busyPace() {
+		g.armTick(g.busyPace())
+	}
+}
+
+// tickDone ticks, where the timer that came is the one that was last asked for.
+func (g *Gateway) tickDone() {
+	if g.set.IdleStep > 0 && g.now < g.tickDue {
+		return
+	}
+	g.tick()
+	g.armTick(g.pace())
+}
 
 // halfway is when a request that was not sent is refused at the latest: with half of its
 // client's time left, or once it has been held for a part of its aim. It guards against
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -401,3 +401,30 @@
 		t.Fatalf("%d tries, %d of them early, still shut %v", tried, early, s.ejected)
 	}
 }
+
+// TestAnIdleGatewayTicksSeldom, and at its usual pace as soon as there is a request; a timer that was asked for before
+// that begins no second row of ticks.
+func TestAnIdleGatewayTicksSeldom(t *testing.T) {
+	s := settings()
+	s.Step, s.IdleStep = 20*milli, 100*milli
+	g, r := start(s, 0)
+	at := Micros(100e6)
+	g.Servers(at, r, FullList, []Entry{{Server: 1, State: Ready}})
+	g.tickDue = at
+	g.Timer(at, r, tokenTick<<32)
+	assert.Equal(t, g.tickDue, at+100*milli)
+	idle := g.tickDue
+	at += 30 * milli
+	g.Request(at, r, Request{ID: 1, Customer: 1, Left: 2e6, Units: 1})
+	assert.Equal(t, g.tickDue, at+20*milli)
+	assert.Equal(t, g.set.IdleStep-at%g.set.IdleStep, 70*milli, "idle ticks of several gateways fall together")
+	at += 20 * milli
+	g.Timer(at, r, tokenTick<<32)
+	assert.Equal(t, g.tickDue, at+20*milli)
+	for at += 20 * milli; at < idle; at += 20 * milli {
+		g.Timer(at, r, tokenTick<<32)
+	}
+	due := g.tickDue
+	g.Timer(idle, r, tokenTick<<32) // the one that the request made void
+	assert.Equal(t, g.tickDue, due)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -147,7 +147,7 @@
 func (g *Gateway) Start(now Micros, do Host) {
 	g.enter(now, do)
 	g.born, g.lastRate, g.wheelAt = now, now, now/step
-	do.Timer(tokenTick<<32, g.pace())
+	g.armTick(g.pace())
 }
 
 // ---- policing ----
@@ -340,6 +340,7 @@
 	if g.reqs[r.ID] != nil {
 		return
 	}
+	g.busyTick()
 	if r.Class < 0 || r.Class >= len(g.classes) || r.Plan < 0 || r.Plan >= len(g.plans) {
 		do.Refuse(r.ID, 0)
 		return
@@ -668,8 +669,7 @@
 	g.enter(now, do)
 	switch token >> 32 {
 	case tokenTick:
-		g.tick()
-		do.Timer(tokenTick<<32, g.pace())
+		g.tickDone()
 	case tokenGiveUp:
 		q := g.reqs[uint32(token)]
 		if q == nil || q.done || !q.held && !q.drawing {
--- a/policy/state.go
+++ b/policy/state.go
@@ -148,6 +148,7 @@
 	customers map[uint64]*customer
 	wheel     [][]*customer
 	wheelAt   int64
+	tickDue   Micros // when the tick that was last asked for is due
 	servers   []*server
 	byID      map[Server]*server
 	listed    int // servers
--- a/policy/types.go
+++ b/policy/types.go
@@ -94,6 +94,8 @@
 	Learn float64 `json:",omitempty"`
 	// Step is the pace of the housekeeping tick; 0 for 10 ms.
 	Step Micros `json:",omitempty"`
+	// IdleStep is the pace while there is no request; 0 for Step.
+	IdleStep Micros `json:",omitempty"`
 	// Beliefs has what is seen of servers told, and what is believed of them heeded.
 	Beliefs bool `json:",omitempty"`
 	// FurtherTry is asked once for each attempt of a request behind its first, and takes it
