--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -69,3 +69,14 @@
 	assert.Assert(t, share(during) >= least, "%.1f%% of %d requests served: %s", 100*share(during), len(during), reasons(during))
 	assert.Equal(t, len(r.Findings()), 0)
 }
+
+// TestOverlappingTroubles plays one drawn scenario: gatekeepers and core machines are restarted and killed in series that overlap,
+// configurations change meanwhile. No rule may break.
+func TestOverlappingTroubles(t *testing.T) {
+	const seed, steps = 101, 6
+	size := Size{Zones: 4, Gatekeepers: 10, Cores: 5, Workers: 36, Tenants: 30, RatePerS: 80}
+	r := played(t, Draw(seed, size, steps))
+	for _, f := range r.Findings() {
+		t.Error(f)
+	}
+}
