Where no registry is any good signs wait longer; candidates of a large core stand further apart

The same class elsewhere (docs/incidents/quota-starvation.md): work that a fleet repeats at once where it fails. Signs went out 14 to 33 times a second from each gatekeeper while no registry was in touch; thirty candidates drew their times within 150 ms and split votes.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -40,8 +40,10 @@
 	ageless = 1e9
 	// spreadMs is how much later a bothy stands for each duty that it has or stands for.
 	spreadMs = 120
-	// shuffleMs bounds the chance part of waiting, which keeps candidates from splitting the votes.
-	shuffleMs = 150
+	// shuffleMs bounds the chance part of waiting, which keeps candidates from splitting the votes; shuffleEach does so
+	// where there are many: the first of them still comes as soon, and the next one no sooner behind it than among few.
+	shuffleMs   = 150
+	shuffleEach = 30
 )
 
 // Kind says what a message is.
@@ -441,7 +443,16 @@
 // await sets when to stand next: later the more this bothy has, so that duties spread.
 func (m *Machine) await(d *duty, now, least float64) {
 	d.weighed = m.busy()
-	d.standAt = now + max(0, least) + spreadMs*float64(d.weighed) + shuffleMs*m.chance.Float64()
+	d.standAt = now + max(0, least) + spreadMs*float64(d.weighed) + m.shuffle()*m.chance.Float64()
+}
+
+// shuffle is how far apart candidates draw their times to stand, at most.
+func (m *Machine) shuffle() float64 {
+	voters := 0
+	if n := len(m.councils); n > 0 {
+		voters = len(m.councils[n-1].ids)
+	}
+	return max(shuffleMs, shuffleEach*float64(voters))
 }
 
 // busy counts what this bothy has or stands for.
--- a/internal/switchback/askless_test.go
+++ b/internal/switchback/askless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -86,3 +87,22 @@
 		assert.Assert(t, !s.tenants.Spend(s.micros(), mine))
 	})
 }
+
+// TestBadSignsAreNotHurried: the first few go on at once, then the waits grow to a bound; a good one begins anew.
+func TestBadSignsAreNotHurried(t *testing.T) {
+	s := open(t)
+	const first = 30 * time.Millisecond
+	for n := range 40 {
+		wait := s.signWait(first)
+		switch {
+		case n <= signsAtOnce:
+			assert.Equal(t, wait, first, "sign %d", n)
+		case n > signsAtOnce+signDoublings:
+			assert.Assert(t, wait >= signWaitMost/2 && wait <= signWaitMost, "sign %d waits %v", n, wait)
+		default:
+			assert.Assert(t, wait >= first && wait <= signWaitMost, "sign %d waits %v", n, wait)
+		}
+	}
+	s.badSigns = 0
+	assert.Equal(t, s.signWait(first), first)
+}
--- a/internal/switchback/proxy.go
+++ b/internal/switchback/proxy.go
@@ -44,6 +44,10 @@
 	failWait     = 30 * time.Millisecond
 	staleWait    = 70 * time.Millisecond
 	unreadWait   = 400 * time.Millisecond
+	signWaitMost = 400 * time.Millisecond // between two signs where no registry is any good
+
+	signsAtOnce   = 5 // signs that were no good, one behind the other, before the waits grow
+	signDoublings = 4
 )
 
 // worker is a listed one.
@@ -121,6 +125,8 @@
 	drawer  *rpc.Peer     // the drawing's
 	drawNow chan struct{} // calls for an asking before its time
 	drawMs  float64       // how long the last answer to a drawing took
+
+	badSigns int // of the session, one behind the other
 }
 
 // counts is what has happened since the start.
--- a/internal/switchback/session.go
+++ b/internal/switchback/session.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -56,7 +57,7 @@
 	})
 	if err != nil {
 		p.leaveCore(to, err.Error())
-		pause(ctx, failWait)
+		pause(ctx, p.signWait(failWait))
 		return
 	}
 	if len(a.Cores) > 0 && !a.Stale {
@@ -66,10 +67,24 @@
 	if !p.heard(ctx, &a, asked) {
 		defer pause(ctx, unreadWait) // it comes with each answer
 	}
-	if a.Stale {
-		p.leaveCore(to, "has lost sight of the tail")
-		pause(ctx, staleWait)
+	if !a.Stale {
+		p.badSigns = 0
+		return
 	}
+	p.leaveCore(to, "has lost sight of the tail")
+	pause(ctx, p.signWait(staleWait))
+}
+
+// signWait is how long to wait behind a sign that was no good. The first few go to other registries at once, as one of them
+// is likely to be in touch. Where none is, the wait doubles: the haste of a whole fleet would keep a core that
+// is about to come back from it.
+func (p *Proxy) signWait(first time.Duration) time.Duration {
+	wait := first << max(p.badSigns-signsAtOnce, 0)
+	p.badSigns = min(p.badSigns+1, signsAtOnce+signDoublings)
+	if wait = min(wait, signWaitMost); wait <= first {
+		return wait
+	}
+	return wait/2 + rand.N(wait/2)
 }
 
 // heard takes a bothy's news, and has the zone's homes give what is lacking of them. It tells
