--- a/internal/testing/soak/client.go
+++ b/internal/testing/soak/client.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"foxwood/internal/testing/standin"
 )
 
 const (
@@ -299,7 +301,7 @@
 	switch {
 	case answer.Header.Get("X-Foxwood-Try-Id") != a.id && answer.StatusCode < 300:
 		a.outcome = mixed
-	case answer.StatusCode < 300 && string(body) == bodyOf(a.id) && answer.Header.Get("X-Foxwood-Postmark") != "":
+	case answer.StatusCode < 300 && string(body) == standin.Body(a.id) && answer.Header.Get("X-Foxwood-Postmark") != "":
 		a.outcome = served
 	case answer.StatusCode < 300:
 		a.outcome = mixed
--- a/internal/testing/soak/judge.go
+++ b/internal/testing/soak/judge.go
@@ -192,7 +192,7 @@
 	for _, q := range r.crowd.requests {
 		for i := range q.attempts {
 			a := &q.attempts[i]
-			runs := r.ledger.of(a.id)
+			runs := r.ledger.Of(a.id)
 			switch {
 			case runs > 1 && !kinds[q.kind].safe:
 				add(Twice, "%s ran %d times", a.id, runs)
--- a/internal/testing/soak/judge_test.go
+++ b/internal/testing/soak/judge_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"foxwood/internal/testing/standin"
 )
 
 // run is a run of one gatekeeper that was not played.
@@ -17,7 +19,7 @@
 	m.processes = []*process{{fleet: f, machine: m, program: Proxy, lives: lives}}
 	f.gatekeepers = []*machine{m}
 	scenario := &Scenario{Size: Size{Tenants: 2, RatePerS: 10}}
-	r := &Run{scenario: scenario, fleet: f, tenants: tenantsOf(scenario.Size), ledger: &ledger{runs: map[string]int{}},
+	r := &Run{scenario: scenario, fleet: f, tenants: tenantsOf(scenario.Size), ledger: standin.NewLedger(),
 		operator: &operator{}, crowd: &crowd{}, began: at, ended: at.Add(time.Minute), newest: formatEdition(0)}
 	return r, m
 }
@@ -25,7 +27,7 @@
 // asked adds a request with one try.
 func (r *Run) asked(m *machine, kind int, o outcome, after, took time.Duration, runs int) {
 	a := attempt{id: fmt.Sprint(len(r.crowd.requests)), gatekeeper: m.at(portClients), outcome: o, sent: r.began.Add(after), ended: r.began.Add(after + took)}
-	r.ledger.runs[a.id] = runs
+	r.ledger.Runs[a.id] = runs
 	r.crowd.requests = append(r.crowd.requests, &request{at: a.sent, kind: kind, attempts: []attempt{a}})
 }
 
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"foxwood/internal/testing/standin"
 )
 
 const (
@@ -26,127 +28,35 @@
 	workerQueue = 6
 )
 
-// ledger is what the workers ran.
-type ledger struct {
-	mu   sync.Mutex
-	runs map[string]int // by the id of the try
-}
-
-func (l *ledger) ran(id string) {
-	l.mu.Lock()
-	l.runs[id]++
-	l.mu.Unlock()
-}
-
-func (l *ledger) of(id string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.runs[id]
-}
-
-// worker serves one service at one address.
-type worker struct {
-	id, service, addr, zone string
-	work                    time.Duration
-	ledger                  *ledger
-	slots                   chan struct{}
-	server                  *http.Server
+// slowTimes is how much longer a slow worker takes.
+const slowTimes = 5.0
 
+// slowed holds the workers that take longer for a while.
+type slowed struct {
 	mu      sync.Mutex
-	waiting int
-	running int
-	closing bool
-	slow    float64 // times the usual work, 0 for 1
-}
-
-func (w *worker) start() error {
-	listener, err := net.Listen("tcp", w.addr)
-	if err != nil {
-		return err
-	}
-	w.slots = make(chan struct{}, workerSlots)
-	w.server = &http.Server{Handler: w, IdleTimeout: workerIdle}
-	go func() { _ = w.server.Serve(listener) }()
-	return nil
-}
-
-// enter takes a place in the queue, if there is one.
-func (w *worker) enter() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.waiting >= workerQueue {
-		return false
-	}
-	w.waiting++
-	return true
-}
-
-// begin moves a request from the queue into a slot.
-func (w *worker) begin() (work time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.waiting--
-	w.running++
-	return time.Duration(float64(w.work) * max(w.slow, 1) * (0.5 + rand.Float64()))
+	workers map[*standin.Worker]bool
 }
 
-func (w *worker) load() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d", w.running, w.waiting, workerSlots)
+func (s *slowed) set(w *standin.Worker, slow bool) {
+	s.mu.Lock()
+	s.workers[w] = slow
+	s.mu.Unlock()
 }
 
-// ServeHTTP implements http.Handler as the platform's protocol asks it of workers.
-func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	h := rw.Header()
-	id := r.Header.Get("X-Foxwood-Try-Id")
-	h.Set("X-Foxwood-Try-Id", id)
-	if e := r.Header.Get("X-Foxwood-Expect-Worker"); e != "" && e != w.id {
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if !w.enter() {
-		w.turnAway(rw)
-		return
+func (s *slowed) times(w *standin.Worker) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.workers[w] {
+		return slowTimes
 	}
-	select {
-	case w.slots <- struct{}{}:
-	case <-r.Context().Done():
-		w.mu.Lock()
-		w.waiting--
-		w.mu.Unlock()
-		w.turnAway(rw)
-		return
-	}
-	work := w.begin()
-	w.ledger.ran(id)
-	time.Sleep(work)
-	w.mu.Lock()
-	w.running--
-	closing := w.closing
-	w.mu.Unlock()
-	<-w.slots
-	h.Set("X-Foxwood-Postmark", w.id)
-	h.Set("X-Foxwood-Worker-Load", w.load())
-	if closing {
-		h.Set("Connection", "close")
-	}
-	_, _ = rw.Write([]byte(bodyOf(id)))
+	return 1
 }
 
-func (w *worker) turnAway(rw http.ResponseWriter) {
-	rw.Header().Set("X-Foxwood-Not-Delivered", "1")
-	rw.Header().Set("X-Foxwood-Worker-Load", w.load())
-	rw.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// bodyOf is the body of a worker's answer to a try.
-func bodyOf(id string) string { return "done " + id }
-
 // platform keeps the list of workers.
 type platform struct {
 	addr    string
-	ledger  *ledger
+	ledger  *standin.Ledger
+	slowed  slowed
 	address func(n int) string // of the n-th worker
 	server  *http.Server
 
@@ -159,7 +69,8 @@
 
 // listed is a worker with how the list has it.
 type listed struct {
-	*worker
+	*standin.Worker
+	work time.Duration
 	gone bool
 }
 
@@ -175,12 +86,15 @@
 	n := p.made
 	p.made++
 	p.mu.Unlock()
-	w := &worker{id: fmt.Sprintf("w-%d", n), service: service, zone: zone, work: work, ledger: p.ledger, addr: p.address(n)}
-	if err := w.start(); err != nil {
+	w := &standin.Worker{ID: fmt.Sprintf("w-%d", n), Service: service, Zone: zone, Ledger: p.ledger, Addr: p.address(n), Slots: workerSlots, Queue: workerQueue,
+		Idle: workerIdle, Work: func(w *standin.Worker) time.Duration {
+			return time.Duration(float64(work) * p.slowed.times(w) * (0.5 + rand.Float64()))
+		}}
+	if err := w.Start(); err != nil {
 		return err
 	}
 	p.mu.Lock()
-	p.workers = append(p.workers, &listed{worker: w})
+	p.workers = append(p.workers, &listed{Worker: w, work: work})
 	p.mu.Unlock()
 	p.changed()
 	return nil
@@ -195,13 +109,7 @@
 		if w.gone {
 			continue
 		}
-		w.mu.Lock()
-		state := "open_counter"
-		if w.closing {
-			state = "closing"
-		}
-		w.mu.Unlock()
-		s.rows = append(s.rows, []any{w.service, w.addr, w.zone, "v1", workerSlots, state, 0, w.id})
+		s.rows = append(s.rows, w.Row())
 	}
 	p.history = append(p.history, s)
 }
@@ -258,7 +166,7 @@
 	}
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(map[string]any{"nextToken": next, "roster": map[string]any{
-		"columns": []string{"destination", "address", "zone", "edition", "berths", "state", "coldS_time", "id"}, "rows": rows[from:to]}})
+		"columns": standin.RowColumns(), "rows": rows[from:to]}})
 }
 
 // some is so many workers that are in service, by chance.
@@ -267,10 +175,7 @@
 	defer p.mu.Unlock()
 	for _, i := range r.Perm(len(p.workers)) {
 		w := p.workers[i]
-		w.mu.Lock()
-		in := !w.closing && !w.gone
-		w.mu.Unlock()
-		if in && len(out) < n {
+		if !w.Closing() && !w.gone && len(out) < n {
 			out = append(out, w)
 		}
 	}
@@ -279,11 +184,9 @@
 
 // close takes a worker out of service in order and lists another one in its place.
 func (p *platform) close(w *listed) error {
-	w.mu.Lock()
-	w.closing = true
-	w.mu.Unlock()
+	w.Close()
 	p.changed()
-	if err := p.add(w.service, w.zone, w.work); err != nil {
+	if err := p.add(w.Service, w.Zone, w.work); err != nil {
 		return err
 	}
 	time.Sleep(closingFor + time.Second)
@@ -297,16 +200,16 @@
 	w.gone = true
 	p.mu.Unlock()
 	p.changed()
-	_ = w.server.Close()
+	w.Stop()
 }
 
 // crash ends a worker at once; the list has it for a while.
 func (p *platform) crash(w *listed, returnAfter time.Duration) error {
-	_ = w.server.Close()
+	w.Stop()
 	time.Sleep(crashListed)
 	p.remove(w)
 	time.Sleep(max(returnAfter-crashListed, 0))
-	return p.add(w.service, w.zone, w.work)
+	return p.add(w.Service, w.Zone, w.work)
 }
 
 // stop ends all workers and the list.
@@ -315,7 +218,7 @@
 	workers := p.workers
 	p.mu.Unlock()
 	for _, w := range workers {
-		_ = w.server.Close()
+		w.Stop()
 	}
 	if p.server != nil {
 		_ = p.server.Close()
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"foxwood/internal/testing/standin"
 )
 
 const (
@@ -40,7 +42,7 @@
 	scenario *Scenario
 	options  Options
 	tenants  []tenant
-	ledger   *ledger
+	ledger   *standin.Ledger
 	platform *platform
 	fleet    *fleet
 	operator *operator
@@ -60,9 +62,9 @@
 
 // Play brings a fleet up, plays the scenario and takes the fleet down.
 func Play(ctx context.Context, s *Scenario, o Options) (*Run, error) {
-	r := &Run{scenario: s, options: o, tenants: tenantsOf(s.Size), ledger: &ledger{runs: map[string]int{}}, random: rand.New(rand.NewPCG(s.Seed, 1))}
+	r := &Run{scenario: s, options: o, tenants: tenantsOf(s.Size), ledger: standin.NewLedger(), random: rand.New(rand.NewPCG(s.Seed, 1))}
 	at := func(part, n int) string { return fmt.Sprintf("%s.%d.%d", o.Network, part+n/perNet, 1+n%perNet) }
-	r.platform = &platform{addr: net.JoinHostPort(at(partPlatform, 0), fmt.Sprint(portClients)), ledger: r.ledger,
+	r.platform = &platform{addr: net.JoinHostPort(at(partPlatform, 0), fmt.Sprint(portClients)), ledger: r.ledger, slowed: slowed{workers: map[*standin.Worker]bool{}},
 		address: func(n int) string { return net.JoinHostPort(at(partWorkers, n), fmt.Sprint(portClients)) }}
 	defer r.platform.stop()
 	r.fleet = newFleet(o.Dir, o.Programs, r.platform.addr, o.Network, s.Size)
@@ -282,7 +284,9 @@
 			case CrashWorkers:
 				err = r.platform.crash(w, s.For)
 			case SlowWorkers:
-				w.slowFor(ctx, s.For)
+				r.platform.slowed.set(w.Worker, true)
+				pause(ctx, s.For)
+				r.platform.slowed.set(w.Worker, false)
 			}
 			if err != nil {
 				r.say("a worker: %v", err)
@@ -293,20 +297,6 @@
 	all.Wait()
 }
 
-const slowTimes = 5.0
-
-// slowFor has a worker take longer for a while.
-func (w *worker) slowFor(ctx context.Context, d time.Duration) {
-	set := func(x float64) {
-		w.mu.Lock()
-		w.slow = x
-		w.mu.Unlock()
-	}
-	set(slowTimes)
-	pause(ctx, d)
-	set(0)
-}
-
 func signalAll(m *machine, s syscall.Signal) {
 	for _, p := range m.processes {
 		p.signal(s)
--- a/internal/testing/soak/scenario.go
+++ b/internal/testing/soak/scenario.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 )
@@ -44,9 +43,6 @@
 	SlowWorkers        Action = "slow workers"
 )
 
-// planned actions are no trouble: requests must not be lost around them.
-var planned = []Action{RestartGatekeepers, ReloadGatekeepers, RestartCores, ChangeRoutes, EvacuateZone, CloseWorkers}
-
 // Step is one action of a scenario: so often, so far apart, each lasting so long where it has an end.
 type Step struct {
 	At     time.Duration
@@ -176,6 +172,3 @@
 	s.Gap = min(s.Gap, 12*time.Second/time.Duration(s.Count))
 	return s
 }
-
-// isPlanned tells whether an action is planned work.
-func isPlanned(a Action) bool { return slices.Contains(planned, a) }
--- a/internal/whiteout/cluster.go
+++ b/internal/whiteout/cluster.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"foxwood/internal/rpc"
+	"foxwood/internal/testing/standin"
 	"foxwood/internal/waymark"
 )
 
@@ -53,8 +54,8 @@
 type cluster struct {
 	dir, net  string
 	mode      string
-	book      *ledger
-	workers   []*worker
+	book      *standin.Ledger
+	workers   []*standin.Worker
 	platform  *http.Server
 	gates     []*process
 	bothies   []*process
@@ -69,15 +70,8 @@
 
 // start brings the system up with a configuration.
 func (c *cluster) start(ctx context.Context) error {
-	for i, s := range services {
-		for j := range workersEach {
-			w := &worker{id: fmt.Sprintf("%s-%d", s.name, j), service: s.name, work: s.work, book: c.book, zone: []string{"a", "b"}[j%2],
-				addr: net.JoinHostPort(c.ip(3, i*workersEach+j), fmt.Sprint(frontPort))}
-			if err := w.start(); err != nil {
-				return err
-			}
-			c.workers = append(c.workers, w)
-		}
+	if err := c.startWorkers(); err != nil {
+		return err
 	}
 	ln, err := net.Listen("tcp", net.JoinHostPort(c.ip(4, 0), fmt.Sprint(frontPort)))
 	if err != nil {
@@ -187,11 +181,11 @@
 func (c *cluster) roster(w http.ResponseWriter, _ *http.Request) {
 	rows := [][]any{}
 	for _, k := range c.workers {
-		rows = append(rows, []any{k.service, k.addr, k.zone, "v1", workerSlots, "open_counter", 0, k.id})
+		rows = append(rows, k.Row())
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"nextToken": nil, "roster": map[string]any{
-		"columns": []string{"destination", "address", "zone", "edition", "berths", "state", "coldS_time", "id"}, "rows": rows}})
+		"columns": standin.RowColumns(), "rows": rows}})
 }
 
 // configure puts the configuration in force.
@@ -294,9 +288,7 @@
 		<-p.done
 	}
 	for _, w := range c.workers {
-		if w.server != nil {
-			_ = w.server.Close()
-		}
+		w.Stop()
 	}
 	if c.platform != nil {
 		_ = c.platform.Close()
--- a/internal/whiteout/copies.go
+++ b/internal/whiteout/copies.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"foxwood/internal/rpc"
+	"foxwood/internal/testing/standin"
 	"foxwood/internal/waymark"
 )
 
@@ -147,7 +148,7 @@
 		return "", nil, err
 	}
 	defer os.RemoveAll(dir)
-	c := &cluster{dir: dir, net: fmt.Sprintf("127.%d", 64+os.Getpid()%128), mode: copyMode, book: &ledger{runs: map[string]int{}}}
+	c := &cluster{dir: dir, net: fmt.Sprintf("127.%d", 64+os.Getpid()%128), mode: copyMode, book: standin.NewLedger()}
 	defer c.stop()
 	if err := c.start(ctx); err != nil {
 		return "", nil, err
@@ -280,7 +281,7 @@
 }
 
 // copyReport is the tables, and what must never be.
-func copyReport(phases []*spent, crowd *crowd, live *ledger, book *shadowBook, status waymark.Copies) (string, []string) {
+func copyReport(phases []*spent, crowd *crowd, live *standin.Ledger, book *shadowBook, status waymark.Copies) (string, []string) {
 	var b strings.Builder
 	say := func(format string, a ...any) { fmt.Fprintf(&b, format+"\n", a...) }
 	say("| phase | copies sent | requests | p50 ms | p99 ms | p99.9 ms | processor µs a request | MB of a gatekeeper |")
@@ -326,7 +327,7 @@
 		} else if k.end == endDoubt {
 			doubt[name] = true
 		}
-		if n := live.of(k.id); n > 1 && !services[k.route].safe {
+		if n := live.Of(k.id); n > 1 && !services[k.route].safe {
 			twice++
 		}
 	}
@@ -362,7 +363,7 @@
 	say("\n| ledger | |\n| --- | ---: |")
 	say("| requests | %d |", len(crowd.asked))
 	say("| unsafe requests that ran twice | %d |", twice)
-	say("| copies at live workers | %d |", live.copies())
+	say("| copies at live workers | %d |", live.CopyCount())
 	say("| copies that came twice | %d |", doubled)
 	say("| journeys delivered as whole, with all their requests | %d |", whole)
 	say("| of which the run's end or a stop cut the delivery off | %d |", part)
@@ -371,7 +372,7 @@
 	say("| requests lost in a full queue | %d |", status.Own.Lost+status.Own.NoRoom)
 	say("| journeys found whole, broken | %d, %d |", k.Whole, k.Broken)
 	var faults []string
-	for what, n := range map[string]int{"unsafe requests ran twice": twice, "copies at live workers": live.copies(), "copies came twice": doubled,
+	for what, n := range map[string]int{"unsafe requests ran twice": twice, "copies at live workers": live.CopyCount(), "copies came twice": doubled,
 		"journeys delivered as whole lack or double a request": wrong} {
 		if n > 0 {
 			faults = append(faults, fmt.Sprintf("%d %s", n, what))
--- a/internal/whiteout/judge.go
+++ b/internal/whiteout/judge.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"foxwood/internal/testing/standin"
 )
 
 // settling is the time after a change of level in which gatekeepers may still differ.
@@ -109,11 +111,11 @@
 
 // judge holds the order of tiers to be one for all services where whole is true, and else one for
 // each: what is let in at a service with room takes nothing from another.
-func judge(tries []*try, book *ledger, all []change, aways []away, from, to time.Time, whole bool) (v verdict) {
+func judge(tries []*try, book *standin.Ledger, all []change, aways []away, from, to time.Time, whole bool) (v verdict) {
 	slices.SortFunc(tries, func(a, b *try) int { return a.sent.Compare(b.sent) })
 	v.tries = len(tries)
 	for _, k := range tries {
-		ran := book.of(k.id)
+		ran := book.Of(k.id)
 		if !services[k.route].safe && ran > 1 {
 			v.unsafeTwice++
 		}
--- a/internal/whiteout/judge_test.go
+++ b/internal/whiteout/judge_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"foxwood/internal/testing/standin"
 )
 
 // TestJudge: the rehearsal must see what it is there to see.
@@ -36,9 +38,9 @@
 		{"one that is cut off, by itself", []*try{one("a", 1, 0, 0, 1, endShed), one("b", 3, 0, 1, 1, endOK)}, map[string]int{"b": 1},
 			[]away{{0, at(0.5), at(4)}}, verdict{tries: 2, outOfOrder: 1}},
 	} {
-		book := &ledger{runs: map[string]int{}}
+		book := standin.NewLedger()
 		for id, n := range c.runs {
-			book.runs[id] = n
+			book.Runs[id] = n
 		}
 		for _, whole := range []bool{true, false} {
 			got := judge(c.tries, book, moved, c.aways, zero, at(10), whole)
@@ -54,7 +56,7 @@
 	at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
 	tries := []*try{{id: "a", caller: "a", rank: 1, route: 1, sent: at(1), ended: at(1), end: endShed},
 		{id: "b", caller: "b", rank: 2, route: 2, sent: at(2), ended: at(2), end: endOK}}
-	book := &ledger{runs: map[string]int{"b": 1}}
+	book := &standin.Ledger{Runs: map[string]int{"b": 1}}
 	assert.Equal(t, judge(tries, book, nil, nil, zero, at(10), false).outOfOrder, 0)
 	assert.Equal(t, judge(tries, book, nil, nil, zero, at(10), true).outOfOrder, 1)
 	tries[1].route = 1
--- a/internal/whiteout/whiteout.go
+++ b/internal/whiteout/whiteout.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"foxwood/internal/testing/standin"
 )
 
 // stage is a time at one load. Its trouble comes a quarter into it.
@@ -129,7 +131,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	c := &cluster{dir: dir, net: fmt.Sprintf("127.%d", 64+os.Getpid()%128), mode: mode, book: &ledger{runs: map[string]int{}}}
+	c := &cluster{dir: dir, net: fmt.Sprintf("127.%d", 64+os.Getpid()%128), mode: mode, book: standin.NewLedger()}
 	defer c.stop()
 	if err := c.start(ctx); err != nil {
 		return nil, err
