A home that was late gets more time for the next answer

Cause: on a full machine homes answered later than the 90 ms that they were given, and all requests of their tenants were refused, though they held tokens (3,664 such requests in nine seconds of 330 processes beside other work). Now the wait doubles behind a late answer, up to four times, for that home alone, and falls back with answers in time.

--- a/internal/switchback/askless_test.go
+++ b/internal/switchback/askless_test.go
@@ -106,3 +106,17 @@
 	s.badSigns = 0
 	assert.Equal(t, s.signWait(first), first)
 }
+
+// TestLateHomesGetMoreTime: behind answers that did not come in time, and no more of it once they do. A refusal is no lateness.
+func TestLateHomesGetMoreTime(t *testing.T) {
+	const usual = 90 * time.Millisecond
+	s := &asker{}
+	late, refused := rpc.Errorf(rpc.Unknown, "did not answer in time"), rpc.Errorf(rpc.Unavailable, "no lease")
+	for _, step := range []struct {
+		err  error
+		wait time.Duration
+	}{{nil, usual}, {refused, usual}, {late, 2 * usual}, {late, 4 * usual}, {late, 4 * usual}, {refused, 4 * usual}, {nil, 2 * usual}, {nil, usual}, {nil, usual}} {
+		s.noteAnswer(step.err)
+		assert.Equal(t, s.patience(usual), step.wait)
+	}
+}
--- a/internal/switchback/tokens.go
+++ b/internal/switchback/tokens.go
@@ -19,7 +19,9 @@
 // second in that order is asked where the first does not answer or has no lease.
 
 const (
-	tokenMost = 90 * time.Millisecond  // for a home to answer
+	tokenMost = 90 * time.Millisecond  // for a home to answer,
+	tokenBusy = 4                      // times that at most for one that was too late the times before:
+	tokenLate = 2                      // doubled for each of so many
 	homeAway  = 400 * time.Millisecond // that a home which did not is left alone
 	emptyMost = 250.0                  // milliseconds that an empty home is believed
 	spareMost = 2
@@ -41,6 +43,7 @@
 // asker asks one home, one call at a time: what comes meanwhile goes with the next.
 type asker struct {
 	peer  *rpc.Peer
+	late  int // times in a row, up to tokenLate
 	busy  bool
 	away  float64 // left alone until then
 	queue []*asking
@@ -171,6 +174,22 @@
 	}
 }
 
+// patience is how long to wait for an answer: longer behind answers that did not come in time, as on machines that are full
+// all homes are late, and whose tenants would all be refused then.
+func (s *asker) patience(usual time.Duration) time.Duration {
+	return min(usual<<s.late, tokenBusy*usual)
+}
+
+// noteAnswer learns from how an asking ended.
+func (s *asker) noteAnswer(err error) {
+	switch {
+	case err == nil:
+		s.late = max(s.late-1, 0)
+	case rpc.KindOf(err) == rpc.Unknown: // it may have been answered too late
+		s.late = min(s.late+1, tokenLate)
+	}
+}
+
 // flush sends what waits for a home.
 func (p *Proxy) flush(s *asker) {
 	if s.busy || len(s.queue) == 0 {
@@ -184,12 +203,14 @@
 		q.Wanted[a.tenant]++
 	}
 	p.counts.Asked += uint64(len(batch))
+	wait := s.patience(p.patience)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), p.patience)
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		defer cancel()
 		got, err := rpc.Call[waymark.Tokens, waymark.Granted](ctx, s.peer, q)
 		p.loop.Post(func() {
 			s.busy = false
+			s.noteAnswer(err)
 			if err != nil {
 				s.away = p.clock.Now() + float64(homeAway)/1e6
 				p.counts.AskedInVain += uint64(len(batch))
