An allotter grants nothing before it was told of members

Found by more seeds of TestTheSumNeverPassesTheRate (26 of 40, the untouched code too): askings that came before the members were told were given floors of a fleet of one, three and six, beside which others took up the floors of a fleet of nine: 65 of 60 a second. Only suspected: a registry that has just started and knows few members may still reckon floors by these.

--- a/internal/bothy/sessions.go
+++ b/internal/bothy/sessions.go
@@ -198,6 +198,7 @@
 		demand[name] = float64(d)
 	}
 	id := memberID(q.Station, q.Life)
+	b.rolled() // the allotter allots nothing before it knows of members
 	began := time.Now()
 	got := b.allot.Ask(now, id, q.Turn, demand, q.Held(), q.LeaseLeft)
 	b.counts.AllotNanos += uint64(time.Since(began))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -118,6 +118,7 @@
 	count   int                 // gatekeepers whose floors count
 	needs   []float64
 	looked  uint64
+	told    bool // of members, at least once
 }
 
 // New makes an allotter that has not begun.
@@ -193,6 +194,7 @@
 // Members brings the gatekeepers that are known, by "station/life". One that is missing
 // has lapsed; its floor stays its own until its station comes with another life.
 func (a *Allotter) Members(now float64, ids []string) {
+	a.told = true
 	for i := range a.members {
 		a.members[i].known = false
 	}
@@ -427,7 +429,9 @@
 // difference at the next asking, which shows that the answer came, or when it runs out.
 func (a *Allotter) Ask(now float64, id string, turn uint64, demand Demand, holding map[string]Slice, leaseLeftMs float64) map[string]Slice {
 	i := a.meet(now, id)
-	if i < 0 || now < a.began || turn <= a.members[i].turn {
+	// Floors are reckoned by all members: by those alone that happen to have asked they would come out too large, and be
+	// kept beside those that others take up by themselves.
+	if i < 0 || !a.told || now < a.began || turn <= a.members[i].turn {
 		return nil
 	}
 	fresh := a.members[i].turn == 0 && !holds(holding)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -509,7 +509,7 @@
 func TestTheSumNeverPassesTheRate(t *testing.T) {
 	terms := map[string]Terms{"t": {60, 30}}
 	most := Terms{60, 30 + slackUsed*(rule.Excess*330+rule.Slack)}
-	for seed := range uint64(4) {
+	for seed := range uint64(40) { // with seed 26 the first askings come before the allotter is told of members
 		f := newFleet(seed+50, 9, terms)
 		f.lost = 0.3
 		for k := range 3000 {
