--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,26 @@
+// Command standin plays the cases of the review: it starts the project's programs as separate processes on loopback
+// addresses, with stand-ins for the platform, workers, clients and the operator.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the cases by name. Each returns whether the rule was broken.
+var cases = map[string]func(recordPath string, trouble bool) (broken bool, err error){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		os.Exit(2)
+	}
+	broken, err := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil: // the case could not run
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	case broken:
+		os.Exit(1)
+	}
+}
