--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -308,7 +308,7 @@
 	if err != nil {
 		return err
 	}
-	status, answer, err := d.order(http.MethodPut, "/timetable", body, 20*time.Second)
+	status, answer, err := d.order(http.MethodPut, "/timetable", body, 12*time.Second)
 	if err == nil && status != 200 {
 		err = fmt.Errorf("%w: the configuration got %d: %s", errCannotRun, status, answer)
 	}
--- a/review/standin/lost_answer.go
+++ b/review/standin/lost_answer.go
@@ -62,7 +62,7 @@
 	if err := d.addWorkers("port-order", 100, workers, serve); err != nil {
 		return false, err
 	}
-	if err := d.awaitReady(20 * time.Second); err != nil {
+	if err := d.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(8 * time.Second) // traffic starts this long after the machines do
--- a/review/standin/reset_without_length.go
+++ b/review/standin/reset_without_length.go
@@ -78,7 +78,7 @@
 	if err := d.addWorkers("port-lookup", 100, workers, serve); err != nil {
 		return false, err
 	}
-	if err := d.awaitReady(20 * time.Second); err != nil {
+	if err := d.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(5 * time.Second)
--- a/review/standin/silent_worker.go
+++ b/review/standin/silent_worker.go
@@ -66,7 +66,7 @@
 	if err := d.addWorkers("port-order", 100, 16, serve); err != nil {
 		return false, err
 	}
-	if err := d.awaitReady(20 * time.Second); err != nil {
+	if err := d.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(8 * time.Second)
