A reset that epoll reports without input no longer completes an answer

Cause: an answer without a length ends with its connection, and the end was believed on io.EOF. gnet passes io.EOF also for an event of an error or a hang-up without readable input. The kernel sets a socket's error before it shuts the socket down, and a poll between the two is told of the error only.

Change: Loop.OnClose asks the socket before it passes io.EOF on. A peek that returns 0 is an orderly close; an error is passed on, and input that nobody read is io.ErrUnexpectedEOF.

--- a/internal/dataplane/link/loop.go
+++ b/internal/dataplane/link/loop.go
@@ -273,10 +273,28 @@
 func (l *Loop) OnClose(c gnet.Conn, err error) gnet.Action {
 	l.beginEvent()
 	defer l.endEvent()
+	if errors.Is(err, io.EOF) {
+		err = endOfInput(c.Fd())
+	}
 	c.Context().(endpoint).closed(err)
 	return gnet.None
 }
 
+// endOfInput returns io.EOF if the peer has closed a connection in an orderly way and all its input has been read.
+// Otherwise it returns how the connection ended. gnet's io.EOF does not tell: gnet passes it for every event of an
+// error or a hang-up without readable input, and epoll may report a reset in this way.
+func endOfInput(fd int) error {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err != nil:
+		return os.NewSyscallError("recvfrom", err)
+	case n > 0:
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 func (l *Loop) closeConn(conn conn) {
 	switch conn := conn.(type) {
 	case *pausableConn:
--- a/internal/testing/mutation/faults.go
+++ b/internal/testing/mutation/faults.go
@@ -317,6 +317,8 @@
 		old: "		timeLeft = min(timeLeft, value)\n", wrong: "		timeLeft = value\n", tests: "TestRouteDeadlineEndsRequest"},
 	{corner: "responses and calls", name: "a response without a length is complete when its connection is reset", file: "internal/dataplane/link/serial.go", in: "internal/dataplane/proxy",
 		old: " && errors.Is(err, io.EOF) && l.parser.ConnectionEnded()", wrong: " && (err != nil || errors.Is(err, io.EOF)) && l.parser.ConnectionEnded()", tests: "TestAnswerWithoutLength"},
+	{corner: "responses and calls", name: "the event loop's io.EOF is taken for an orderly close", file: "internal/dataplane/link/loop.go",
+		old: "		err = endOfInput(c.Fd())\n", wrong: "		err = io.EOF\n", tests: "TestOnlyOrderlyCloseCompletesAnswer"},
 	{corner: "responses and calls", name: "a worker's failure is passed on with another status", file: "internal/dataplane/proxy/handler.go",
 		old: "	client.Respond(answer.Status, answer.HeaderLines, answer.Body)", wrong: "	client.Respond(http.StatusBadGateway, answer.HeaderLines, answer.Body)", tests: "TestWorkerStatusIsPassedOn"},
 	{corner: "responses and calls", name: "a gatekeeper without a configuration answers 404", file: "internal/dataplane/proxy/handler.go",
