The end of a gatekeeper no longer completes an answer to an HTTP/1.0 client

What callers saw: a streamed answer of unknown length to an HTTP/1.0 client ends with its connection. Where the gatekeeper ended in its middle (a kill, the end of its grace), the client had an orderly end, and took half of the body for all of it.

Cause: the kernel closes the sockets of a process that ends in an orderly way. The connection was told to reset only in endStream, when the gatekeeper gave up the answer itself.

Change: the connection is told to reset on any close when such an answer begins, and told to close in order once the kernel has all of it.

--- a/internal/dataplane/link/client.go
+++ b/internal/dataplane/link/client.go
@@ -529,9 +529,13 @@
 }
 
 func (l *ClientConn) halfClose() {
-	if l.conn.OutboundBuffered() == 0 {
-		_ = syscall.Shutdown(l.conn.Fd(), syscall.SHUT_WR)
+	if l.conn.OutboundBuffered() > 0 {
+		return
+	}
+	if l.closeDelimited { // the kernel has all of the response
+		l.resetOnClose(false)
 	}
+	_ = syscall.Shutdown(l.conn.Fd(), syscall.SHUT_WR)
 }
 
 // updateList puts a connection without a request in progress on the list for its state.
--- a/internal/dataplane/link/streaming.go
+++ b/internal/dataplane/link/streaming.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"net/http"
 	"strconv"
 
@@ -201,11 +202,26 @@
 	}
 	l.conn, l.responseFrom, l.chunked, l.closeDelimited = pausable, from, length < 0 && !l.http10, length < 0 && l.http10
 	l.lastResponse = l.lastResponse || l.clients.draining || l.closeDelimited
+	if l.closeDelimited {
+		l.resetOnClose(true)
+	}
 	l.clients.scratch = l.responseHead(cmp.Or(answer.Status, http.StatusOK), length, l.lastResponse, answer.HeaderLines)
 	l.write(l.clients.scratch)
 	return !l.isClosed
 }
 
+// resetOnClose sets whether closing the connection resets it. While part of a response that ends with its connection
+// is still to be sent, any other close would make it look complete, the kernel's at the end of the process too.
+func (l *ClientConn) resetOnClose(reset bool) {
+	var linger unix.Linger // with a time of 0 a close discards unsent bytes and resets the connection
+	if reset {
+		linger.Onoff = 1
+	}
+	if err := unix.SetsockoptLinger(l.conn.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &linger); err != nil {
+		slog.Warn("setting SO_LINGER of a client connection failed", "error", err)
+	}
+}
+
 // writePiece writes a piece of the response and reports whether there is room for more.
 func (l *ClientConn) writePiece(b []byte) (room bool) {
 	if l.isClosed || len(b) == 0 {
@@ -234,9 +250,6 @@
 	l.responseFrom, l.request = nil, nil
 	l.notifyEnded(request, RequestEnding{Streamed: true})
 	if !whole {
-		if l.closeDelimited { // a normal close would make the response look complete; reset the connection
-			_ = unix.SetsockoptLinger(l.conn.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-		}
 		l.close()
 		return
 	}
--- a/internal/dataplane/proxy/testproxy_test.go
+++ b/internal/dataplane/proxy/testproxy_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 	t        *testing.T
 	listener *link.Listener
 	addr     string
+	stopOnce sync.Once
 }
 
 // testSettings are the settings of a test proxy, with a place for its bounds.
@@ -66,11 +68,17 @@
 	listener, err := link.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	go listener.Accept(p.loop, func() *link.ClientConn { return p.clients.NewConn() })
-	t.Cleanup(func() {
-		_ = listener.Close()
-		assert.Check(t, p.loop.Stop())
+	proxy := &testProxy{Proxy: p, t: t, listener: listener, addr: listener.Addr().String()}
+	t.Cleanup(proxy.stop)
+	return proxy
+}
+
+// stop ends the proxy, which closes all its connections.
+func (s *testProxy) stop() {
+	s.stopOnce.Do(func() {
+		_ = s.listener.Close()
+		assert.Check(s.t, s.loop.Stop())
 	})
-	return &testProxy{p, t, listener, listener.Addr().String()}
 }
 
 // routeSpec is a route of a configuration. The comments name the values used for zero values.
