Soak: workers break off answers while everything else goes on

The soak's workers answered with a length and broke nothing off.

Change: cmd/soak -broken adds three steps over the whole scenario in which up to 0.6 of the workers break off three in ten answers (a reset without a length; a reset or a close with a length or chunks). Some answers have no length and end in order, one in six is long and streamed, some pause, and a quarter of the clients speak HTTP/1.0. Clients keep their connections until the other end closes them or the process is gone, and compare whole bodies. Scenarios without the flag are drawn as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	memoryMB := flags.Int64("memory", 10<<10, "memory limit in megabytes for all processes together")
 	keepLogs := flags.Bool("logs", false, "also keep logs of runs without findings")
 	rolling := flags.Duration("rolling", 0, "instead of generated steps, restart all gatekeepers twice, with this time between two restarts")
+	broken := flags.Bool("broken", false, "also let workers break off answers, and vary the forms of answers and the clients")
 	var size soak.Size
 	flags.IntVar(&size.Zones, "zones", 4, "number of zones")
 	flags.IntVar(&size.Gatekeepers, "gatekeepers", 12, "number of gatekeepers")
@@ -55,6 +56,9 @@
 		if *rolling > 0 {
 			scenario = soak.RollingRestartScenario(*seed+uint64(i), size, rollingRounds, *rolling)
 		}
+		if *broken {
+			scenario = scenario.WithBrokenAnswers()
+		}
 		code, err := runScenario(ctx, scenario, programDir, *reportDir, *memoryMB<<20, *keepLogs)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
--- a/internal/testing/soak/client.go
+++ b/internal/testing/soak/client.go
@@ -23,6 +23,7 @@
 const (
 	clientsPerRate    = 0.5 // clients per request per second, as in larger deployments
 	maxTries          = 3
+	http10Every       = 4
 	dialTimeout       = time.Second
 	defaultRetryDelay = 50 * time.Millisecond // after a failure without Retry-After
 	minTimeLeft       = 20 * time.Millisecond // time left until the deadline below which no attempt is made
@@ -104,6 +105,8 @@
 	tenants         []tenant
 	clients         []*client
 	clientsOfTenant [][]int
+	body            func(id string) string // body of the answer to an attempt
+	someHTTP10      bool                   // one in http10Every clients speaks HTTP/1.0
 	sequence        atomic.Uint64
 	inFlight        sync.WaitGroup
 
@@ -113,7 +116,7 @@
 
 // newClientPool creates the clients of all tenants, at least one for each.
 func newClientPool(f *fleet, size Size, tenants []tenant) *clientPool {
-	pool := &clientPool{fleet: f, tenants: tenants, clientsOfTenant: make([][]int, len(tenants))}
+	pool := &clientPool{fleet: f, tenants: tenants, clientsOfTenant: make([][]int, len(tenants)), body: standin.ResponseBody}
 	for tenant := range tenants {
 		for range max(1, int(tenants[tenant].share*size.RatePerS*clientsPerRate)) {
 			clientZone := f.zones[len(pool.clients)%len(f.zones)]
@@ -309,7 +312,7 @@
 	switch {
 	case response.Header.Get("X-Foxwood-Try-Id") != try.id && response.StatusCode < 300:
 		try.outcome = outcomeMismatched
-	case response.StatusCode < 300 && string(body) == standin.ResponseBody(try.id) && response.Header.Get("X-Foxwood-Postmark") != "":
+	case response.StatusCode < 300 && string(body) == l.pool.body(try.id) && response.Header.Get("X-Foxwood-Postmark") != "":
 		try.outcome = outcomeServed
 	case response.StatusCode < 300:
 		try.outcome = outcomeMismatched
@@ -337,7 +340,11 @@
 // exchange writes a request and reads the whole response.
 func (l *client) exchange(conn *connection, try *attempt, kind *requestKind, timeLeft time.Duration) (*http.Response, []byte, error) {
 	var message bytes.Buffer
-	fmt.Fprintf(&message, "%s %sx HTTP/1.1\r\nHost: %s\r\nX-Foxwood-Try-Id: %s\r\nX-Foxwood-Time-Left: %d\r\nAuthorization: Bearer %s\r\n", kind.method(), routePrefix(kind), domain,
+	version := "HTTP/1.1"
+	if l.pool.someHTTP10 && l.index%http10Every == 0 {
+		version = "HTTP/1.0"
+	}
+	fmt.Fprintf(&message, "%s %sx %s\r\nHost: %s\r\nX-Foxwood-Try-Id: %s\r\nX-Foxwood-Time-Left: %d\r\nAuthorization: Bearer %s\r\n", kind.method(), routePrefix(kind), version, domain,
 		try.id, timeLeft.Milliseconds(), l.pool.tenants[l.tenant].key)
 	if !kind.safe {
 		fmt.Fprintf(&message, "Content-Length: %d\r\n", len(try.id))
--- a/internal/testing/soak/findings.go
+++ b/internal/testing/soak/findings.go
@@ -206,7 +206,7 @@
 				addFinding(RuleWrongResponse, "%s got another answer", try.id)
 			case try.outcome == outcomeClosed && (runCount > 0 || try.endedAt.Sub(try.sentAt) > closeRaceTime):
 				gatekeeper := byAddress[try.gatekeeper]
-				if gatekeeper == nil || gatekeeper.hadUnplannedFault(try.sentAt.Add(-faultLeadTime), try.endedAt) {
+				if gatekeeper == nil || r.ledger.WasBroken(try.id) || gatekeeper.hadUnplannedFault(try.sentAt.Add(-faultLeadTime), try.endedAt) {
 					continue
 				}
 				if gatekeeper.wasTerminating(try.sentAt, try.endedAt) || runCount == 0 {
--- a/internal/testing/soak/findings_test.go
+++ b/internal/testing/soak/findings_test.go
@@ -69,6 +69,21 @@
 			r.addRequest(m, submit, outcomeServed, 0, time.Second, 1)
 			r.addRequest(m, submit, outcomeServed, 0, time.Second, 1)
 		}, nil},
+		{"answer broken off by its worker", []*processRun{running()}, func(r *Run, m *machine) {
+			for range allowedCuts + 2 {
+				r.ledger.Broken[fmt.Sprint(len(r.clientPool.requests))] = true
+				r.addRequest(m, submit, outcomeClosed, 0, time.Second, 1)
+			}
+			for range 10 * allowedCuts {
+				r.addRequest(m, submit, outcomeServed, 0, time.Second, 1)
+			}
+		}, nil},
+		{"broken answer taken for a whole one", []*processRun{running()}, func(r *Run, m *machine) {
+			r.ledger.Broken[fmt.Sprint(len(r.clientPool.requests))] = true
+			r.addRequest(m, submit, outcomeMismatched, 0, time.Second, 1)
+			r.addRequest(m, submit, outcomeServed, 0, time.Second, 1)
+			r.addRequest(m, submit, outcomeServed, 0, time.Second, 1)
+		}, []Rule{RuleWrongResponse}},
 		{"process exited by itself", []*processRun{{startedAt: startedAt, endedAt: startedAt.Add(time.Second), exitStatus: "exit status 2"}}, func(r *Run, m *machine) { r.addRequest(m, read, outcomeServed, 0, time.Second, 1) }, []Rule{RuleUnexpectedExit}},
 		{"kind of request hardly served", []*processRun{running()}, func(r *Run, m *machine) {
 			for k := range 100 {
@@ -96,6 +111,7 @@
 	for seed := range uint64(200) {
 		scenario := RandomScenario(seed, size, 6)
 		assert.Equal(t, scenario.String(), RandomScenario(seed, size, 6).String())
+		assert.Equal(t, RandomScenario(seed, size, 6).WithBrokenAnswers().String(), RandomScenario(seed, size, 6).WithBrokenAnswers().String())
 		for _, step := range scenario.Steps {
 			assert.Assert(t, step.Count > 0 && step.endsAt() <= scenario.troubleEnd())
 			if step.Action == KillCores {
--- a/internal/testing/soak/platform.go
+++ b/internal/testing/soak/platform.go
@@ -31,27 +31,27 @@
 // slowFactor is the factor by which a slow worker takes longer.
 const slowFactor = 5.0
 
-// slowWorkerSet is the set of workers that are currently slow.
-type slowWorkerSet struct {
+// workerSet is the set of workers that are currently in a trouble.
+type workerSet struct {
 	mu      sync.Mutex
 	workers map[*standin.Worker]bool
 }
 
-// setSlow makes a worker slow or normal again.
-func (s *slowWorkerSet) setSlow(w *standin.Worker, slow bool) {
+// newWorkerSet returns an empty set.
+func newWorkerSet() *workerSet { return &workerSet{workers: map[*standin.Worker]bool{}} }
+
+// set adds a worker or removes it.
+func (s *workerSet) set(w *standin.Worker, member bool) {
 	s.mu.Lock()
-	s.workers[w] = slow
+	s.workers[w] = member
 	s.mu.Unlock()
 }
 
-// factor returns the factor by which the work of a worker takes longer.
-func (s *slowWorkerSet) factor(w *standin.Worker) float64 {
+// has reports whether a worker is in the set.
+func (s *workerSet) has(w *standin.Worker) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.workers[w] {
-		return slowFactor
-	}
-	return 1
+	return s.workers[w]
 }
 
 // platform simulates the platform's API, which lists the workers. It shows changes with a delay and limits the rate of
@@ -59,8 +59,11 @@
 type platform struct {
 	addr        string
 	ledger      *standin.ExecutionLog
-	slowWorkers slowWorkerSet
-	address     func(n int) string // returns the address of the n-th worker
+	slowWorkers *workerSet
+	breakers    *workerSet                              // workers that break off answers
+	body        func(id string) string                  // body of an answer
+	answer      func(breaksOff bool) standin.AnswerForm // draws how an answer is sent; nil for ordinary answers
+	address     func(n int) string                      // returns the address of the n-th worker
 	server      *http.Server
 
 	mu           sync.Mutex
@@ -91,8 +94,15 @@
 	p.mu.Unlock()
 	w := &standin.Worker{ID: fmt.Sprintf("w-%d", n), Service: service, Zone: zone, Log: p.ledger, Addr: p.address(n), Slots: workerSlots, Queue: workerQueue,
 		IdleTimeout: workerIdleTimeout, WorkTime: func(w *standin.Worker) time.Duration {
-			return time.Duration(float64(workTime) * p.slowWorkers.factor(w) * (0.5 + rand.Float64()))
-		}}
+			factor := 0.5 + rand.Float64()
+			if p.slowWorkers.has(w) {
+				factor *= slowFactor
+			}
+			return time.Duration(float64(workTime) * factor)
+		}, Body: p.body}
+	if p.answer != nil {
+		w.Answer = func(w *standin.Worker) standin.AnswerForm { return p.answer(p.breakers.has(w)) }
+	}
 	if err := w.Start(); err != nil {
 		return err
 	}
--- a/internal/testing/soak/report.go
+++ b/internal/testing/soak/report.go
@@ -17,6 +17,9 @@
 	u := &r.usage
 	fmt.Fprintf(&text, "served %.2f%% of %d requests; at most %d processes, %d MB; cores in use: %s %.2f, %s %.2f, %s %.2f\n", 100*servedShare(requests), len(requests),
 		u.maxRunning, u.maxMemory>>20, Proxy, u.cpuCores(Proxy), Registry, u.cpuCores(Registry), ConfigStore, u.cpuCores(ConfigStore))
+	if broken := r.ledger.BrokenCount(); broken > 0 {
+		fmt.Fprintf(&text, "answers that workers broke off: %d\n", broken)
+	}
 	fmt.Fprintf(&text, "%s", r.metrics)
 	text.WriteString("second: asked, served, median ms of those served; how others ended\n")
 	keys, grouped := groupBy(requests, func(q *request) int { return int(q.startedAt.Sub(r.startedAt) / time.Second) })
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -67,8 +67,11 @@
 	address := func(octet, n int) string {
 		return fmt.Sprintf("%s.%d.%d", options.LoopbackPrefix, octet+n/addressesPerOctet, 1+n%addressesPerOctet)
 	}
-	run.platform = &platform{addr: net.JoinHostPort(address(platformOctet, 0), fmt.Sprint(portClients)), ledger: run.ledger, slowWorkers: slowWorkerSet{workers: map[*standin.Worker]bool{}},
+	run.platform = &platform{addr: net.JoinHostPort(address(platformOctet, 0), fmt.Sprint(portClients)), ledger: run.ledger, slowWorkers: newWorkerSet(), breakers: newWorkerSet(), body: standin.ResponseBody,
 		address: func(n int) string { return net.JoinHostPort(address(workersOctet, n), fmt.Sprint(portClients)) }}
+	if scenario.VariedAnswers {
+		run.platform.body, run.platform.answer = variedBody, drawAnswerForm
+	}
 	defer run.platform.stop()
 	run.fleet = newFleet(options.WorkDir, options.ProgramDir, run.platform.addr, options.LoopbackPrefix, scenario.Size)
 	if err := run.bringUp(ctx); err != nil {
@@ -120,6 +123,7 @@
 	r.logEvent("%d processes started in %.1f s", len(r.fleet.processes()), time.Since(startedAt).Seconds())
 	r.operator = newOperator(r.fleet, r.tenants)
 	r.clientPool = newClientPool(r.fleet, size, r.tenants)
+	r.clientPool.body, r.clientPool.someHTTP10 = r.platform.body, r.scenario.VariedAnswers
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if first := r.operator.changeConfiguration(ctx); first.acknowledgedAt.IsZero() {
@@ -290,9 +294,13 @@
 			case CrashWorkers:
 				err = r.platform.crashWorker(worker, step.Duration)
 			case SlowWorkers:
-				r.platform.slowWorkers.setSlow(worker.Worker, true)
+				r.platform.slowWorkers.set(worker.Worker, true)
+				sleep(ctx, step.Duration)
+				r.platform.slowWorkers.set(worker.Worker, false)
+			case BreakAnswers:
+				r.platform.breakers.set(worker.Worker, true)
 				sleep(ctx, step.Duration)
-				r.platform.slowWorkers.setSlow(worker.Worker, false)
+				r.platform.breakers.set(worker.Worker, false)
 			}
 			if err != nil {
 				r.logEvent("a worker: %v", err)
--- a/internal/testing/soak/scenario.go
+++ b/internal/testing/soak/scenario.go
@@ -45,6 +45,7 @@
 	CloseWorkers        Action = "close workers"
 	CrashWorkers        Action = "crash workers"
 	SlowWorkers         Action = "slow workers"
+	BreakAnswers        Action = "break off answers"
 )
 
 // Step is an action of a scenario, applied to one or more targets in sequence.
@@ -71,6 +72,8 @@
 	WarmUp   time.Duration // time with traffic before the first step
 	CoolDown time.Duration // time with traffic after the last step
 	Steps    []Step
+	// VariedAnswers makes some answers long, some without a length, and some clients speak HTTP/1.0.
+	VariedAnswers bool
 }
 
 // troubleEnd returns when the last step is over, from the start of the traffic.
@@ -110,6 +113,28 @@
 	return scenario
 }
 
+const (
+	brokenAnswersShare = 0.6 // of the workers break off answers in a step, at most
+	brokenAnswersSteps = 3
+)
+
+// WithBrokenAnswers adds steps in which workers break off answers while the other steps go on. An answer without a length
+// ends by an orderly close in all others.
+//
+// The end of a connection must never be taken for the end of an answer that was broken off; neither by a gatekeeper nor,
+// when that gatekeeper ends, by its clients.
+func (s *Scenario) WithBrokenAnswers() *Scenario {
+	rng := rand.New(rand.NewPCG(s.Seed, 0xb0ff))
+	length := s.troubleEnd() - s.WarmUp
+	for i := range brokenAnswersSteps {
+		share := brokenAnswersShare * (0.5 + rng.Float64()/2)
+		s.Steps = append(s.Steps, Step{Start: s.WarmUp + time.Duration(i)*length/brokenAnswersSteps, Action: BreakAnswers,
+			Count: max(1, int(share*float64(s.Size.Workers))), Duration: max(length/brokenAnswersSteps, time.Second)})
+	}
+	s.VariedAnswers = true
+	return s
+}
+
 // RollingRestartScenario returns a scenario that restarts all gatekeepers one after the other, rounds times, with a gap between
 // two restarts.
 func RollingRestartScenario(seed uint64, size Size, rounds int, gap time.Duration) *Scenario {
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -81,3 +81,19 @@
 		t.Error(f)
 	}
 }
+
+// TestBrokenAnswersUnderRestarts guards against the end of a connection being taken for the end of an answer: by a gatekeeper
+// whose worker resets the connection, or by a client whose gatekeeper ends. Workers break off answers in every way while
+// gatekeepers and core machines are restarted and killed and the configuration changes. No rule may be violated.
+func TestBrokenAnswersUnderRestarts(t *testing.T) {
+	const (
+		seed, steps = 61, 6
+		minBroken   = 100 // fewer answers would test too little
+	)
+	size := Size{Zones: 4, Gatekeepers: 10, Cores: 5, Workers: 36, Tenants: 30, RatePerS: 120}
+	run := playScenario(t, RandomScenario(seed, size, steps).WithBrokenAnswers())
+	for _, finding := range run.Findings() {
+		t.Error(finding)
+	}
+	assert.Assert(t, run.ledger.BrokenCount() >= minBroken, "%d answers were broken off", run.ledger.BrokenCount())
+}
--- a/internal/testing/standin/worker.go
+++ b/internal/testing/standin/worker.go
@@ -23,12 +23,36 @@
 // ExecutionLog records what workers ran. Its methods are safe for concurrent use.
 type ExecutionLog struct {
 	mu           sync.Mutex
-	Runs         map[string]int // number of executions of each attempt, by its ID
-	ShadowCopies int            // copies for a shadow service that workers received
+	Runs         map[string]int  // number of executions of each attempt, by its ID
+	Broken       map[string]bool // attempts whose answers a worker broke off, by ID
+	ShadowCopies int             // copies for a shadow service that workers received
 }
 
 // NewExecutionLog returns an empty execution log.
-func NewExecutionLog() *ExecutionLog { return &ExecutionLog{Runs: map[string]int{}} }
+func NewExecutionLog() *ExecutionLog {
+	return &ExecutionLog{Runs: map[string]int{}, Broken: map[string]bool{}}
+}
+
+// WasBroken reports whether a worker broke off an answer to the attempt with an ID.
+func (l *ExecutionLog) WasBroken(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Broken[id]
+}
+
+// BrokenCount returns how many attempts had an answer that a worker broke off.
+func (l *ExecutionLog) BrokenCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.Broken)
+}
+
+// recordBroken notes that an answer to an attempt is broken off.
+func (l *ExecutionLog) recordBroken(id string) {
+	l.mu.Lock()
+	l.Broken[id] = true
+	l.mu.Unlock()
+}
 
 // RunCount returns how often the attempt with an ID was executed.
 func (l *ExecutionLog) RunCount(id string) int {
@@ -65,6 +89,8 @@
 	Slots, Queue            int                         // requests that may run and wait at the same time
 	IdleTimeout             time.Duration               // after which an idle connection is closed
 	WorkTime                func(*Worker) time.Duration // returns the processing time of a request
+	Answer                  func(*Worker) AnswerForm    // returns how an answer is sent; nil means the zero form for all
+	Body                    func(id string) string      // returns the body for the attempt with an ID; nil means ResponseBody
 	Log                     *ExecutionLog
 
 	slots  chan struct{}
@@ -185,7 +211,22 @@
 	if w.ShuttingDown() {
 		header.Set("Connection", "close")
 	}
-	_, _ = rw.Write([]byte(ResponseBody(id)))
+	body := ResponseBody(id)
+	if w.Body != nil {
+		body = w.Body(id)
+	}
+	form := AnswerForm{}
+	if w.Answer != nil {
+		form = w.Answer(w)
+	}
+	if form == (AnswerForm{}) {
+		_, _ = rw.Write([]byte(body))
+		return
+	}
+	if form.End != EndWhole {
+		w.Log.recordBroken(id)
+	}
+	form.send(rw, body)
 }
 
 // reject answers that the request was not executed.
