A request that was partly sent may have run, and is not repeated

Cause: a lost connection, a timeout and a cancelled execution took "not all of it was sent" for "it never ran". Workers may begin, and answer, before they have read a long body.

Change: a transport tells whether nothing, a part or all of an execution was sent, and only nothing proves that it never ran. It holds for HTTP/1.1, pipelines and HTTP/2; batch workers act on complete messages only.

TestNoBytesSentAfterConnectionCloses asked that a request of which a part had been sent is reported as not sent, which was the fault; it now asks for "a part", and as before that the rest never arrives.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -35,13 +35,23 @@
 	Body        []byte
 }
 
+// SendProgress tells how much of an execution has been sent to its worker.
+type SendProgress int
+
+// The degrees of progress. A worker may begin an execution, and even answer it, before it has all of it.
+const (
+	SentNothing SendProgress = iota // the worker can't have begun it
+	SentPart
+	SentAll
+)
+
 // WorkerTransport sends executions to the workers. It reports the end of each with
 // Gatekeeper.ExecutionEnded, unless the gatekeeper has abandoned it.
 type WorkerTransport interface {
 	Execute(x *Execution)
 	// Abandon stops an execution immediately, so that a later one cannot overlap it.
-	// It reports whether the whole execution had been sent to the worker.
-	Abandon(x *Execution) (sent bool)
+	// It reports how much of it had been sent to the worker.
+	Abandon(x *Execution) SendProgress
 	// Release closes idle connections to a worker that is no longer listed as ready.
 	Release(id policy.Server)
 }
@@ -124,9 +134,11 @@
 // Outcome is how an execution ended.
 type Outcome struct {
 	Status policy.Status
-	Answer Answer    // the worker's answer; an error with a status code is kept as Request.LastError
-	Units  float64   // actual cost in units, 0 if the worker did not report it
-	Load   []float32 // load report, in the order of the settings' report fields
+	// PartlySent is set if the execution ended before all of it had been sent.
+	PartlySent bool
+	Answer     Answer    // the worker's answer; an error with a status code is kept as Request.LastError
+	Units      float64   // actual cost in units, 0 if the worker did not report it
+	Load       []float32 // load report, in the order of the settings' report fields
 }
 
 // CounterCall is one call to the shared counter, which adds Amount to the counter Name.
@@ -319,7 +331,7 @@
 		return
 	}
 	x.ended = true
-	if o.Status != policy.ConnectFailed && o.Status != policy.Cancelled && o.Status != policy.NotSent {
+	if !o.PartlySent && o.Status != policy.ConnectFailed && o.Status != policy.Cancelled && o.Status != policy.NotSent {
 		g.ExecutionSent(x)
 	}
 	r := x.Request
@@ -501,17 +513,18 @@
 	g.scheduleWakeUp()
 }
 
-// expire ends an execution whose timeout has expired. If it had not been completely
-// sent, the worker counts as unreachable.
+// expire ends an execution whose timeout has expired. If no part of it had been sent, the
+// worker counts as unreachable.
 func (g *Gatekeeper) expire(x *Execution) {
 	if x.ended {
 		return
 	}
-	status := policy.ConnectFailed
-	if g.fleet.Abandon(x) {
-		status = policy.Timeout
+	progress := g.fleet.Abandon(x)
+	outcome := Outcome{Status: policy.Timeout, PartlySent: progress == SentPart}
+	if progress == SentNothing {
+		outcome.Status = policy.ConnectFailed
 	}
-	g.ExecutionEnded(x, Outcome{Status: status})
+	g.ExecutionEnded(x, outcome)
 }
 
 // ExecutionSent reports that the last byte of an execution has been written to its worker.
@@ -669,7 +682,7 @@
 		return
 	}
 	x := r.executions[attempt]
-	if g.fleet.Abandon(x) {
+	if g.fleet.Abandon(x) == SentAll {
 		g.ExecutionSent(x)
 	}
 	g.ExecutionEnded(x, Outcome{Status: policy.Cancelled})
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -16,11 +16,11 @@
 	executions    []*Execution
 	calls         []*CounterCall
 	log           []string
-	abandonResult bool // the result of Abandon
+	abandonResult SendProgress // the result of Abandon
 }
 
 func (r *harness) Execute(x *Execution) { r.executions = append(r.executions, x) }
-func (r *harness) Abandon(x *Execution) bool {
+func (r *harness) Abandon(x *Execution) SendProgress {
 	r.record("abandon %d", x.attempt)
 	return r.abandonResult
 }
@@ -42,7 +42,7 @@
 	if change != nil {
 		change(&s)
 	}
-	r := &harness{clock: NewClock(), abandonResult: true}
+	r := &harness{clock: NewClock(), abandonResult: SentAll}
 	r.clock.Set(1e6)
 	r.Gatekeeper = New(Config{Settings: s, Seed: 1, Clock: r.clock, Workers: r, Counter: r, RequestWakeUp: func(float64) {}})
 	r.UpdateWorkers(policy.FullList, []policy.Entry{{Server: 1, State: policy.Ready}, {Server: 2, State: policy.Ready}})
@@ -128,7 +128,7 @@
 // can't have run, so the answer must not be a failure.
 func TestTimeoutBeforeSendingIsARefusal(t *testing.T) {
 	r := newHarness(t, nil)
-	r.abandonResult = false
+	r.abandonResult = SentNothing
 	r.submit(1)
 	r.advance(1001)
 	r.expect(t, "abandon 0", "throttled")
--- a/internal/dataplane/link/batch.go
+++ b/internal/dataplane/link/batch.go
@@ -228,17 +228,17 @@
 }
 
 // cancel implements muxProtocol. A message tells the worker, and the connection stays open.
-func (s *batchProtocol) cancel(execution *gatekeeper.Execution) (sent bool, err error) {
+func (s *batchProtocol) cancel(execution *gatekeeper.Execution) (progress gatekeeper.SendProgress, err error) {
 	if i := slices.Index(s.waiting, execution); i >= 0 {
 		s.waiting = slices.Delete(s.waiting, i, i+1)
-		return false, nil
+		return gatekeeper.SentNothing, nil
 	}
 	if i := slices.IndexFunc(s.items, func(it batchItem) bool { return it.execution == execution }); i >= 0 {
 		s.cancels = append(s.cancels, s.items[i].id)
 		s.items = slices.Delete(s.items, i, i+1)
-		return true, nil
+		return gatekeeper.SentAll, nil
 	}
-	return false, nil
+	return gatekeeper.SentNothing, nil
 }
 
 func (s *batchProtocol) sweep(now float64) error {
--- a/internal/dataplane/link/discard_unsent_test.go
+++ b/internal/dataplane/link/discard_unsent_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestNoBytesSentAfterConnectionCloses checks that an abandoned request whose last byte was
-// not sent does not arrive. gnet writes what is still buffered after OnClose, so a request
-// that was reported as never run would still arrive in full.
+// not sent does not arrive in full, and that its worker may have begun it nevertheless. gnet
+// writes what is still buffered after OnClose.
 func TestNoBytesSentAfterConnectionCloses(t *testing.T) {
 	const body = 8 << 20 // more than the kernel buffers
 	for _, protocol := range []Protocol{HTTP1, Pipeline} {
@@ -56,8 +56,8 @@
 			}
 			// The loop is blocked until the worker has made room in the kernel's buffers, and
 			// then abandons the request.
-			held, drained, sent := make(chan bool), make(chan bool), make(chan bool, 1)
-			loop.Post(func() { held <- true; <-drained; sent <- workerConns.Abandon(execution) })
+			held, drained, progress := make(chan bool), make(chan bool), make(chan gatekeeper.SendProgress, 1)
+			loop.Post(func() { held <- true; <-drained; progress <- workerConns.Abandon(execution) })
 			<-held
 			total := 0
 			b := make([]byte, 1<<20)
@@ -69,8 +69,8 @@
 				}
 			}
 			drained <- true
-			if <-sent {
-				t.Fatal("reported as fully sent")
+			if got := <-progress; got != gatekeeper.SentPart {
+				t.Fatalf("progress %v, want %v", got, gatekeeper.SentPart)
 			}
 			_ = workerSide.SetReadDeadline(time.Now().Add(5 * time.Second))
 			rest, err := io.Copy(io.Discard, workerSide)
--- a/internal/dataplane/link/fleet.go
+++ b/internal/dataplane/link/fleet.go
@@ -63,8 +63,8 @@
 // execution's TransportData.
 type executionHolder interface {
 	// abandon gives an execution up. When it returns, the execution is no longer in flight. It
-	// reports whether all of the execution had been sent.
-	abandon(x *gatekeeper.Execution) (sent bool)
+	// reports how much of it had been sent.
+	abandon(x *gatekeeper.Execution) gatekeeper.SendProgress
 }
 
 // WorkerConns holds the connections to all workers. It implements gatekeeper.WorkerTransport.
@@ -242,12 +242,12 @@
 }
 
 // Abandon implements gatekeeper.WorkerTransport.
-func (f *WorkerConns) Abandon(execution *gatekeeper.Execution) (sent bool) {
+func (f *WorkerConns) Abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
 	if h, ok := execution.TransportData.(executionHolder); ok {
 		execution.TransportData = nil
 		return h.abandon(execution)
 	}
-	return false
+	return gatekeeper.SentNothing
 }
 
 // endUnanswered reports an execution that got no response.
@@ -256,6 +256,16 @@
 	f.core.ExecutionEnded(execution, gatekeeper.Outcome{Status: status})
 }
 
+// endBroken reports an execution whose connection was lost before a response.
+func (f *WorkerConns) endBroken(execution *gatekeeper.Execution, progress gatekeeper.SendProgress) {
+	outcome := gatekeeper.Outcome{Status: policy.Reset, PartlySent: progress == gatekeeper.SentPart}
+	if progress == gatekeeper.SentNothing {
+		outcome.Status = policy.ConnectFailed
+	}
+	execution.TransportData = nil
+	f.core.ExecutionEnded(execution, outcome)
+}
+
 // checkSend reports whether an execution that has waited may still be sent. If not, it ends
 // the execution as never run.
 func (f *WorkerConns) checkSend(execution *gatekeeper.Execution) bool {
--- a/internal/dataplane/link/http2.go
+++ b/internal/dataplane/link/http2.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -92,14 +93,23 @@
 
 // cancel implements muxProtocol. RST_STREAM with CANCEL tells the peer, and the connection
 // stays open.
-func (s *http2Protocol) cancel(execution *gatekeeper.Execution) (sent bool, err error) {
+func (s *http2Protocol) cancel(execution *gatekeeper.Execution) (progress gatekeeper.SendProgress, err error) {
 	s.session.EachStream(func(st *h2.Stream) {
 		if st.Tag.(*streamExecution).execution == execution {
-			sent = st.EndOffset > 0
+			progress = streamProgress(st, s.conn.sentOffset())
 			s.session.CancelStream(st)
 		}
 	})
-	return sent, nil
+	return progress, nil
+}
+
+// streamProgress returns how much of a stream's request has been sent.
+func streamProgress(stream *h2.Stream, sentOffset int64) gatekeeper.SendProgress {
+	endOffset := stream.EndOffset
+	if endOffset == 0 { // its last byte has not been written
+		endOffset = math.MaxInt64
+	}
+	return sendProgress(stream.StartOffset, endOffset, sentOffset)
 }
 
 func (s *http2Protocol) sweep(now float64) error {
@@ -125,10 +135,6 @@
 	slices.SortFunc(open, func(a, b *h2.Stream) int { return int(a.ID) - int(b.ID) })
 	s.session.DropStreams()
 	for _, stream := range open {
-		status := policy.Reset
-		if stream.StartOffset >= sentOffset {
-			status = policy.ConnectFailed
-		}
-		s.conn.workerConns.endUnanswered(stream.Tag.(*streamExecution).execution, status)
+		s.conn.workerConns.endBroken(stream.Tag.(*streamExecution).execution, streamProgress(stream, sentOffset))
 	}
 }
--- a/internal/dataplane/link/mux.go
+++ b/internal/dataplane/link/mux.go
@@ -32,9 +32,9 @@
 	finalBytes() []byte
 	// takeOutput returns the output that is due. The slice is valid until the next call.
 	takeOutput() []byte
-	// cancel gives up an execution before its response, and reports whether all of it had been
-	// sent. After an error the connection must be closed, because the peer could not be told.
-	cancel(execution *gatekeeper.Execution) (sent bool, err error)
+	// cancel gives up an execution before its response, and reports how much of it had been sent.
+	// After an error the connection must be closed, because the peer could not be told.
+	cancel(execution *gatekeeper.Execution) (progress gatekeeper.SendProgress, err error)
 	// sweep does periodic work. After an error the connection is closed.
 	sweep(now float64) error
 	// peerLeaving reports that the peer accepts no new executions on this connection.
@@ -56,7 +56,6 @@
 	conn         conn
 	protocol     muxProtocol
 	writtenBytes int64 // bytes written to the connection
-	writing      bool
 	mark         writeMark
 	isClosed     bool
 	idleSince    float64 // start of the idle period
@@ -208,11 +207,11 @@
 }
 
 // abandon implements executionHolder for a queued execution.
-func (s *muxPool) abandon(execution *gatekeeper.Execution) (sent bool) {
+func (s *muxPool) abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
 	if i := slices.Index(s.queue, execution); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
-	return false
+	return gatekeeper.SentNothing
 }
 
 // usable reports whether the connection may carry new executions.
@@ -251,27 +250,40 @@
 	if len(b) == 0 {
 		return
 	}
-	t.writing = true
 	_, _ = send(t.conn, b) // a failed write closes the connection
-	t.writing = false
 	t.writtenBytes += int64(len(b))
 }
 
+// sendProgress returns how much of a message has been sent that takes the output from one offset to another when
+// the given number of bytes has been sent.
+func sendProgress(startOffset, endOffset, sentOffset int64) gatekeeper.SendProgress {
+	switch {
+	case startOffset >= sentOffset:
+		return gatekeeper.SentNothing
+	case endOffset > sentOffset:
+		return gatekeeper.SentPart
+	}
+	return gatekeeper.SentAll
+}
+
+// sentOffset returns how many bytes of the connection's output the kernel has taken.
+func (t *muxConn) sentOffset() int64 { return t.writtenBytes - int64(t.conn.OutboundBuffered()) }
+
 // abandon implements executionHolder. The message that tells the peer is written before this
 // returns. If that is not possible, the connection is closed. Either way, the execution is no
 // longer in flight.
-func (t *muxConn) abandon(execution *gatekeeper.Execution) (sent bool) {
-	sent, err := t.protocol.cancel(execution)
+func (t *muxConn) abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
+	progress, err := t.protocol.cancel(execution)
 	if err == nil {
 		t.flush()
 		if t.isClosed || t.conn.OutboundBuffered() == 0 {
 			t.updateIdle()
 			t.pool.assign()
-			return sent
+			return progress
 		}
 	}
 	t.close()
-	return sent
+	return progress
 }
 
 func (t *muxConn) opened(c conn) {
@@ -353,7 +365,7 @@
 	if i := slices.Index(t.pool.conns, t); i >= 0 {
 		t.pool.conns = slices.Delete(t.pool.conns, i, i+1)
 	}
-	sentOffset := t.writtenBytes - int64(t.conn.OutboundBuffered())
+	sentOffset := t.sentOffset()
 	discardUnsent(t.conn)
 	t.uncount()
 	t.protocol.connLost(sentOffset)
--- a/internal/dataplane/link/pipeline.go
+++ b/internal/dataplane/link/pipeline.go
@@ -8,7 +8,6 @@
 	"foxwood/gatekeeper"
 	"foxwood/internal/dataplane/http1"
 	"foxwood/internal/dataplane/pipelining"
-	"foxwood/policy"
 )
 
 // pipelineProtocol speaks HTTP/1.1 with pipelining (RFC 9112, section 9.3.2). Only the order
@@ -169,19 +168,19 @@
 
 // cancel implements muxProtocol. HTTP/1.1 cannot cancel a request, so the connection must be
 // closed, unless the request is the last in the pipeline and no byte of it has been written.
-func (l *pipelineProtocol) cancel(execution *gatekeeper.Execution) (sent bool, err error) {
+func (l *pipelineProtocol) cancel(execution *gatekeeper.Execution) (progress gatekeeper.SendProgress, err error) {
 	i := slices.IndexFunc(l.requests, func(request pipelinedRequest) bool { return request.execution == execution })
 	if i < 0 {
-		return false, nil
+		return gatekeeper.SentNothing, nil
 	}
 	request := l.requests[i]
 	l.requests = slices.Delete(l.requests, i, i+1)
 	l.pending = slices.Delete(l.pending, i, i+1)
 	if i == len(l.requests) && request.startOffset >= l.outputOffset {
 		l.output = l.output[:request.startOffset-l.outputOffset]
-		return false, nil
+		return gatekeeper.SentNothing, nil
 	}
-	return request.endOffset <= l.outputOffset-int64(l.conn.conn.OutboundBuffered()), errCannotCancel
+	return sendProgress(request.startOffset, request.endOffset, l.conn.sentOffset()), errCannotCancel
 }
 
 func (l *pipelineProtocol) sweep(float64) error { return nil }
@@ -191,9 +190,9 @@
 //
 //	complete response received               served, or as the response says
 //	response begun                           has run
-//	last byte written                        may have run
-//	last byte not written                    never ran: a server does not act on an
-//	                                         incomplete request (RFC 9112, section 8)
+//	first byte written                       may have run: a worker may begin, and even
+//	                                         answer, before it has the whole body
+//	first byte not written                   never ran
 //	behind a response with                   never ran: a server must not process later
 //	"Connection: close"                      requests (RFC 9112, section 9.6). A server that
 //	                                         processes several at once may do so only with
@@ -204,11 +203,11 @@
 	items := l.requests
 	l.requests, l.pending = nil, nil
 	for _, request := range items {
-		status := policy.Reset
-		if request.endOffset > sentOffset || l.closing {
-			status = policy.ConnectFailed
+		progress := sendProgress(request.startOffset, request.endOffset, sentOffset)
+		if l.closing {
+			progress = gatekeeper.SentNothing
 		}
-		l.conn.workerConns.endUnanswered(request.execution, status)
+		l.conn.workerConns.endBroken(request.execution, progress)
 	}
 }
 
--- a/internal/dataplane/link/serial.go
+++ b/internal/dataplane/link/serial.go
@@ -59,7 +59,6 @@
 	execution    *gatekeeper.Execution
 	partialOf    *gatekeeper.Execution // execution whose response is incomplete
 	lastPartAt   float64               // when the last piece of that response arrived
-	writing      bool
 	isClosed     bool
 	idleSince    float64 // start of the idle period
 	keepAliveMS  float64 // longest idle period, from the worker's Keep-Alive header
@@ -68,6 +67,9 @@
 	skipped      int     // responses to other requests
 	executions   int     // number of executions carried
 
+	writtenBytes int // given to the connection for the current request
+	takenBefore  int // bytes that the kernel had taken before that request, if the connection is pausable
+
 	upload      *upload     // streamed body of the current request
 	uploadSent  int         // offset in the body up to which it has been sent
 	uploadDone  bool        // the whole body has been sent
@@ -239,23 +241,24 @@
 }
 
 // abandon implements executionHolder for a queued execution.
-func (s *serialPool) abandon(execution *gatekeeper.Execution) (sent bool) {
+func (s *serialPool) abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
 	if i := slices.Index(s.queue, execution); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
-	return false
+	return gatekeeper.SentNothing
 }
 
 // abandon implements executionHolder. It closes the connection, so the execution is no longer
 // in flight when it returns.
-func (l *workerConn) abandon(execution *gatekeeper.Execution) (sent bool) {
-	if l.execution == execution {
-		l.execution = nil
-		sent = l.fullySent()
-		l.detachUpload()
-		l.close()
+func (l *workerConn) abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
+	if l.execution != execution {
+		return gatekeeper.SentNothing
 	}
-	return sent
+	l.execution = nil
+	progress := l.sendProgress()
+	l.detachUpload()
+	l.close()
+	return progress
 }
 
 func (l *workerConn) opened(c conn) {
@@ -334,11 +337,13 @@
 		}
 		l.conn = pausable
 	}
+	l.writtenBytes, l.takenBefore = 0, 0
+	if pausable, ok := l.conn.(*pausableConn); ok {
+		l.takenBefore = pausable.writtenBytes
+	}
 	out := l.workerConns.message(l.workerConns.scratch[:0], execution, "", 0)
 	l.workerConns.scratch = out
-	l.writing = true
-	_, _ = send(l.conn, out) // a failed write closes the connection
-	l.writing = false
+	l.write(out)
 	switch {
 	case l.isClosed || l.execution != execution:
 		return
@@ -352,6 +357,26 @@
 	}
 }
 
+// write writes part of the current request. A failed write closes the connection.
+func (l *workerConn) write(b []byte) {
+	if _, err := send(l.conn, b); err == nil {
+		l.writtenBytes += len(b)
+	}
+}
+
+// sendProgress returns how much of the current request the kernel has taken.
+func (l *workerConn) sendProgress() gatekeeper.SendProgress {
+	pausable, ok := l.conn.(*pausableConn)
+	begun := l.conn.OutboundBuffered() < l.writtenBytes || ok && pausable.writtenBytes > l.takenBefore
+	switch {
+	case !begun:
+		return gatekeeper.SentNothing
+	case l.writtenBytes == 0 || !l.fullySent():
+		return gatekeeper.SentPart
+	}
+	return gatekeeper.SentAll
+}
+
 // message appends an execution as an HTTP/1.1 request. If echo is not empty, it names the
 // header that carries the sequence number.
 func (f *WorkerConns) message(out []byte, execution *gatekeeper.Execution, echo string, sequence uint64) []byte {
@@ -526,7 +551,7 @@
 	if i := slices.Index(l.pool.idle, l); i >= 0 {
 		l.pool.idle = slices.Delete(l.pool.idle, i, i+1)
 	}
-	unsent := l.writing || !l.fullySent()
+	progress := l.sendProgress()
 	l.detachUpload()
 	discardUnsent(l.conn)
 	l.uncount()
@@ -538,9 +563,5 @@
 		return
 	}
 	l.execution = nil
-	status := policy.Reset
-	if unsent {
-		status = policy.ConnectFailed
-	}
-	l.workerConns.endUnanswered(execution, status)
+	l.workerConns.endBroken(execution, progress)
 }
--- a/internal/dataplane/link/streaming.go
+++ b/internal/dataplane/link/streaming.go
@@ -291,14 +291,11 @@
 		b := upload.held[l.uploadSent-upload.heldOffset:]
 		b = b[:min(len(b), readChunkBytes)]
 		l.uploadSent += len(b)
-		l.writing = true
 		if upload.declaredLength < 0 {
 			l.workerConns.scratch = appendChunk(l.workerConns.scratch[:0], b)
-			_, _ = send(pausable, l.workerConns.scratch)
-		} else {
-			_, _ = send(pausable, b)
+			b = l.workerConns.scratch
 		}
-		l.writing = false
+		l.write(b)
 	}
 	if l.isClosed {
 		return
@@ -307,12 +304,13 @@
 		l.noteProgress()
 	}
 	if upload.complete && l.uploadSent == upload.heldOffset+len(upload.held) {
-		l.uploadDone = true
 		if upload.declaredLength < 0 {
-			l.writing = true
-			_, _ = send(pausable, []byte(lastChunk))
-			l.writing = false
+			l.write([]byte(lastChunk))
 		}
+		if l.isClosed {
+			return
+		}
+		l.uploadDone = true
 	}
 	l.reportSent()
 }
--- a/internal/gateway/openapi/openapi_test.go
+++ b/internal/gateway/openapi/openapi_test.go
@@ -161,9 +161,9 @@
 	r.executions = append(r.executions, x)
 	r.record(x.Request, "to %d for %.3f", x.Worker, x.Timeout)
 }
-func (r *decisionRecorder) Abandon(x *gatekeeper.Execution) bool {
+func (r *decisionRecorder) Abandon(x *gatekeeper.Execution) gatekeeper.SendProgress {
 	r.record(x.Request, "abandoned")
-	return true
+	return gatekeeper.SentAll
 }
 func (r *decisionRecorder) Release(policy.Server)                             {}
 func (r *decisionRecorder) Add(*gatekeeper.CounterCall)                       {}
--- a/internal/gateway/platform/event_orders_test.go
+++ b/internal/gateway/platform/event_orders_test.go
@@ -299,15 +299,15 @@
 	g.outstanding = append(g.outstanding, a)
 }
 
-func (g *simGatekeeper) Abandon(execution *gatekeeper.Execution) bool {
+func (g *simGatekeeper) Abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
 	for i, a := range g.outstanding {
 		if a.execution == execution {
 			g.outstanding = append(g.outstanding[:i:i], g.outstanding[i+1:]...)
 			g.sim.endAttempt(a, policy.Timeout)
-			return true
+			return gatekeeper.SentAll
 		}
 	}
-	return false
+	return gatekeeper.SentNothing
 }
 
 // endAttempt records the end of an attempt.
--- a/internal/gateway/platform/fleet_test.go
+++ b/internal/gateway/platform/fleet_test.go
@@ -239,10 +239,13 @@
 func (g *fleetGatekeeper) Place(policy.Server, string, float64) {}
 func (g *fleetGatekeeper) Release(policy.Server)                {}
 
-func (g *fleetGatekeeper) Abandon(execution *gatekeeper.Execution) bool {
+func (g *fleetGatekeeper) Abandon(execution *gatekeeper.Execution) gatekeeper.SendProgress {
 	sent := g.outstanding[execution]
 	delete(g.outstanding, execution)
-	return sent
+	if sent {
+		return gatekeeper.SentAll
+	}
+	return gatekeeper.SentNothing
 }
 
 // Execute uses an idle connection or opens one. A connection carries one request at a time.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -30,13 +30,13 @@
 	open       []*gatekeeper.Request
 }
 
-func (r *harness) Execute(x *gatekeeper.Execution)                   { r.executions = append(r.executions, x) }
-func (r *harness) Abandon(*gatekeeper.Execution) bool                { return true }
-func (r *harness) Release(policy.Server)                             {}
-func (r *harness) Add(c *gatekeeper.CounterCall)                     { r.calls = append(r.calls, c) }
-func (r *harness) Served(q *gatekeeper.Request, _ gatekeeper.Answer) { r.removeOpen(q) }
-func (r *harness) Throttled(q *gatekeeper.Request, _ float64)        { r.removeOpen(q) }
-func (r *harness) Failed(q *gatekeeper.Request)                      { r.removeOpen(q) }
+func (r *harness) Execute(x *gatekeeper.Execution)                       { r.executions = append(r.executions, x) }
+func (r *harness) Abandon(*gatekeeper.Execution) gatekeeper.SendProgress { return gatekeeper.SentAll }
+func (r *harness) Release(policy.Server)                                 {}
+func (r *harness) Add(c *gatekeeper.CounterCall)                         { r.calls = append(r.calls, c) }
+func (r *harness) Served(q *gatekeeper.Request, _ gatekeeper.Answer)     { r.removeOpen(q) }
+func (r *harness) Throttled(q *gatekeeper.Request, _ float64)            { r.removeOpen(q) }
+func (r *harness) Failed(q *gatekeeper.Request)                          { r.removeOpen(q) }
 func (r *harness) removeOpen(q *gatekeeper.Request) {
 	for i, o := range r.open {
 		if o == q {
--- a/internal/testing/benchmark/restarts.go
+++ b/internal/testing/benchmark/restarts.go
@@ -55,7 +55,9 @@
 type noopEnvironment struct{}
 
 // Abandon agrees to abandon any execution.
-func (noopEnvironment) Abandon(*gatekeeper.Execution) bool { return true }
+func (noopEnvironment) Abandon(*gatekeeper.Execution) gatekeeper.SendProgress {
+	return gatekeeper.SentAll
+}
 
 // Release does nothing.
 func (noopEnvironment) Release(policy.Server) {}
