An answer that has begun is waited for up to the deadline

Cause: proxies closed a worker's connection where an answer had begun and nothing more of it came for 2 s, against malformed answers.

Change: proxies set no such limit. The deadline ends such an answer; safe requests leave a silent worker by the decision module's rule, as before. Test proxies no longer lift the limit for themselves.

--- a/internal/dataplane/link/fleet.go
+++ b/internal/dataplane/link/fleet.go
@@ -86,7 +86,7 @@
 	// The following fields may be set before the first execution. They apply to HTTP1 only.
 
 	// PartialTimeoutMS is how many milliseconds an incomplete response may make no progress
-	// before its connection is closed.
+	// before its connection is closed, 0 for no limit but the execution's timeout.
 	PartialTimeoutMS float64
 	// SettleMS is how many milliseconds a connection rests before it is reused.
 	SettleMS float64
--- a/internal/dataplane/link/serial.go
+++ b/internal/dataplane/link/serial.go
@@ -428,7 +428,7 @@
 // malformed response may announce more bytes than it has, and would otherwise be waited for
 // until the client's deadline.
 func (l *workerConn) checkPartial() {
-	if l.isClosed || l.execution == nil || l.partialOf != l.execution {
+	if l.isClosed || l.execution == nil || l.partialOf != l.execution || l.workerConns.PartialTimeoutMS <= 0 {
 		return
 	}
 	remainingMS := l.lastPartAt + l.workerConns.PartialTimeoutMS - l.workerConns.clock.Now()
--- a/internal/dataplane/link/serial_test.go
+++ b/internal/dataplane/link/serial_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// TestPartialResponseWithoutTimeout checks that without a limit an incomplete response is waited for until the core gives
+// the execution up.
+func TestPartialResponseWithoutTimeout(t *testing.T) {
+	env := newMatchingWorld()
+	env.workerConns.PartialTimeoutMS = 0
+	execution := newExecution(3, 1, 0)
+	env.workerConns.Execute(execution)
+	conn := env.acceptDial()
+	response := matchedResponse("3", "its own")
+	conn.endpoint.traffic(response[:len(response)-2])
+	env.advance(60e3)
+	if conn.closed {
+		t.Fatal("connection closed before the rest of the response")
+	}
+	conn.endpoint.traffic(response[len(response)-2:])
+	if ends := env.outcomes[execution]; len(ends) != 1 || ends[0].Status != policy.OK {
+		t.Fatalf("outcomes %v, want one OK", ends)
+	}
+}
+
 // TestPerWorkerConnectionLimit checks that further executions wait for a connection.
 func TestPerWorkerConnectionLimit(t *testing.T) {
 	env := newMatchingWorld()
--- a/internal/dataplane/proxy/pool.go
+++ b/internal/dataplane/proxy/pool.go
@@ -83,7 +83,8 @@
 	}
 	s := &pool{p: p, name: name, classIndexes: map[classTerms]int{}}
 	s.fleet = link.NewWorkerConns(p.loop, p.clock, p.handler, p.connectTimeoutMs, maxIdleMs, link.Transport{})
-	s.fleet.PartialTimeoutMS, s.fleet.HonorKeepAlive = 2000, true
+	s.fleet.PartialTimeoutMS = 0 // a worker may be silent inside an answer up to the deadline
+	s.fleet.HonorKeepAlive = true
 	s.fleet.ResponseLimits = &answerLimits
 	planList := make([]policy.Plan, tenantRanks)
 	for i := range planList {
--- a/internal/dataplane/proxy/testproxy_test.go
+++ b/internal/dataplane/proxy/testproxy_test.go
@@ -162,11 +162,6 @@
 	var now float64
 	s.runOnLoop(func() { now = s.clock.Now() })
 	assert.Assert(s.t, s.received(s.t.Context(), &answer, now), "configuration can't be parsed")
-	s.runOnLoop(func() {
-		for _, pool := range s.poolList {
-			pool.fleet.PartialTimeoutMS = 6e4 // a stalled test machine must not look like a stalled worker
-		}
-	})
 }
 
 // fullList returns an answer with a complete list of workers.
--- a/internal/dataplane/proxy/worker_answers_test.go
+++ b/internal/dataplane/proxy/worker_answers_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -332,6 +333,27 @@
 	}
 }
 
+// TestWorkerPausesInsideAnswer guards against ending an answer with a failure because its worker is silent in its middle, though
+// the deadline is far.
+func TestWorkerPausesInsideAnswer(t *testing.T) {
+	t.Parallel()
+	const pause = 2300 * time.Millisecond
+	for _, unsafe := range []bool{false, true} {
+		proxy := newTestProxy(t)
+		proxy.receive(fullList(1, startWorker(t, "w-1", "a", func(n int, r *workerRequest) bool {
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n%s%s%s\r\n\r\nabcdefgh", postmarkLine, tryIDPrefix, r.id)
+			if !rawReply(text)(n, r) {
+				return false
+			}
+			time.Sleep(pause)
+			return rawReply("abcdefgh")(n, r)
+		}, nil)), newConfig(t, 1, []routeSpec{{prefix: "/", destination: "a", unsafe: unsafe}}))
+		response, body := proxy.do("GET", "/", "", "")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, body, repeatedText(16))
+	}
+}
+
 // TestAnswerWithoutLength: an answer without a length ends with its connection. It is complete if the connection is
 // closed and incomplete if it is reset, whether the answer was buffered or streamed.
 func TestAnswerWithoutLength(t *testing.T) {
--- a/internal/testing/mutation/faults.go
+++ b/internal/testing/mutation/faults.go
@@ -405,6 +405,8 @@
 		old: "	if m.Close || mustClose {", wrong: "	if m.Close {", tests: "TestFaultAtEachByteOfAnswer"},
 	{corner: "responses and calls", name: "a broken connection proves that nothing ran", file: "internal/dataplane/link/serial.go", in: "internal/dataplane/proxy",
 		old: "	case !begun:\n", wrong: "	case begun || !begun:\n", tests: "TestFaultAtEachByteOfAnswer"},
+	{corner: "responses and calls", name: "an answer that pauses is ended before the deadline", file: "internal/dataplane/proxy/pool.go",
+		old: "	s.fleet.PartialTimeoutMS = 0 ", wrong: "	s.fleet.PartialTimeoutMS = 2000 ", tests: "TestWorkerPausesInsideAnswer"},
 	{corner: "responses and calls", name: "a request that was partly sent never ran", file: "internal/dataplane/link/serial.go",
 		old: "		return gatekeeper.SentPart\n", wrong: "		return gatekeeper.SentNothing\n", tests: "TestPartlySentRequestMayHaveRun"},
 	{corner: "responses and calls", name: "a timeout proves that nothing ran", file: "gatekeeper/gatekeeper.go", in: "internal/dataplane/proxy",
