--- a/internal/dataplane/link/discard_unsent_test.go
+++ b/internal/dataplane/link/discard_unsent_test.go
@@ -21,15 +21,7 @@
 				t.Fatal(err)
 			}
 			defer listener.Close()
-			loop, err := NewLoop(NewBudget(1024, 0))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() {
-				if err := loop.Stop(); err != nil {
-					t.Error(err)
-				}
-			}()
+			loop := newTestLoop(t)
 			clock := gatekeeper.NewClock()
 			recorder := newWorld(Transport{}) // only to record outcomes
 			workerConns := NewWorkerConns(loop, clock, modelReader{}, 250, 5000, Transport{Protocol: protocol})
--- a/internal/dataplane/link/limits_test.go
+++ b/internal/dataplane/link/limits_test.go
@@ -145,22 +145,9 @@
 // TestStalledBodyGets502OnceForwarded checks that a request that stalls after part of it went
 // to a worker is not answered with 408, which promises that it has not run.
 func TestStalledBodyGets502OnceForwarded(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(io.Discard, c) }()
-		}
-	}()
+	addr := listenTest(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
 	text := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 80000)
-	gateway := newTestGateway(t, listener.Addr().String(), &ClientLimits{IdleTimeoutMS: 200})
+	gateway := newTestGateway(t, addr, &ClientLimits{IdleTimeoutMS: 200})
 	if response, _ := gateway.exchange(t, text); response.StatusCode != http.StatusBadGateway || !response.Close {
 		t.Fatalf("status %d, Connection: close %v; want 502, true", response.StatusCode, response.Close)
 	}
--- a/internal/dataplane/link/reset_answer_test.go
+++ b/internal/dataplane/link/reset_answer_test.go
@@ -121,37 +121,18 @@
 // without a length that are reset in the middle, epoll tells some with an error or hang-up and no readable input.
 func TestResetAnswersStayIncomplete(t *testing.T) {
 	const answers = 1000
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			worker, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			request := make([]byte, 4096)
-			_, _ = worker.Read(request)
-			_, _ = io.WriteString(worker, answerWithoutLength+strings.Repeat("x", answerPartBytes))
-			_ = worker.(*net.TCPConn).SetLinger(0)
-			_ = worker.Close()
-		}
-	}()
-	loop, err := NewLoop(NewBudget(1024, 0))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := loop.Stop(); err != nil {
-			t.Error(err)
-		}
-	}()
+	addr := listenTest(t, func(worker net.Conn) {
+		request := make([]byte, 4096)
+		_, _ = worker.Read(request)
+		_, _ = io.WriteString(worker, answerWithoutLength+strings.Repeat("x", answerPartBytes))
+		_ = worker.(*net.TCPConn).SetLinger(0)
+		_ = worker.Close()
+	})
+	loop := newTestLoop(t)
 	ended := make(chan policy.Status, 1)
 	workerConns := NewWorkerConns(loop, gatekeeper.NewClock(), modelReader{}, 250, 5000, Transport{})
 	workerConns.SetCore(outcomeChannel{newWorld(Transport{}), ended})
-	loop.Post(func() { workerConns.Place(1, listener.Addr().String(), 0) })
+	loop.Post(func() { workerConns.Place(1, addr, 0) })
 	whole := 0
 	for n := range answers {
 		loop.Post(func() { workerConns.Execute(newExecution(n, 1, 0)) })
