--- a/internal/testing/mutation/faults.go
+++ b/internal/testing/mutation/faults.go
@@ -405,6 +405,8 @@
 		old: "	if m.Close || mustClose {", wrong: "	if m.Close {", tests: "TestFaultAtEachByteOfAnswer"},
 	{corner: "responses and calls", name: "a broken connection proves that nothing ran", file: "internal/dataplane/link/worker_conn.go", in: "internal/dataplane/proxy",
 		old: "	case !begun:\n", wrong: "	case begun || !begun:\n", tests: "TestFaultAtEachByteOfAnswer"},
+	{corner: "quotas", name: "a failed request for slices is repeated sooner", file: "internal/dataplane/proxy/allocation.go",
+		old: "			if answered && early {\n", wrong: "			if (answered || !answered) && early {\n", tests: "TestFailedAllocationIsNotRepeatedSooner"},
 	{corner: "responses and calls", name: "an answer that pauses is ended before the deadline", file: "internal/dataplane/proxy/pool.go",
 		old: "	s.fleet.PartialTimeoutMS = 0 ", wrong: "	s.fleet.PartialTimeoutMS = 2000 ", tests: "TestWorkerPausesInsideAnswer"},
 	{corner: "responses and calls", name: "a request that was partly sent never ran", file: "internal/dataplane/link/worker_conn.go",
