Soak: a rule for periods in which nothing was served

OUTAGE: of all requests, a kind, or a tenant within its quota, twelve or more in a row over recoveryS and none served. Today's rules and bounds stay.

--- a/internal/testing/soak/findings.go
+++ b/internal/testing/soak/findings.go
@@ -22,6 +22,7 @@
 	RuleConfigurationNotInEffect Rule = "CONFIG"   // an acknowledged configuration is not in effect
 	RuleNotAcknowledged          Rule = "ACKS"     // an operation was rejected or never acknowledged
 	RuleUnexpectedExit           Rule = "ENDS"     // a process exited unasked, or did not exit within its grace period
+	RuleOutage                   Rule = "OUTAGE"   // nothing of a tenant, of a kind or of all was served for the recovery time
 	RuleNotRecovered             Rule = "RECOVERS" // too few requests are served after the last step and the recovery time
 )
 
@@ -64,6 +65,7 @@
 		addFinding(RuleNotRecovered, "%.1f%% of %d requests were served later than %.0f s behind the last trouble", 100*lateShare, len(lateRequests), recoveryTimeS)
 	}
 	r.checkStarvation(overall, addFinding)
+	r.checkOutages(addFinding)
 	r.checkRefusingGatekeepers(addFinding)
 	r.checkAttempts(addFinding)
 	r.checkExits(addFinding)
