HTTP/2: what is queued of a cancelled stream counts as sent

Cause: since partly sent requests may have run, a cancelled stream of which nothing had left yet counted as never sent, but what is queued of it is written before its RST_STREAM. Change: a cancelled stream counts as sent, in part where its last byte is not queued.

--- a/internal/dataplane/link/http2.go
+++ b/internal/dataplane/link/http2.go
@@ -92,11 +92,14 @@
 }
 
 // cancel implements muxProtocol. RST_STREAM with CANCEL tells the peer, and the connection
-// stays open.
+// stays open. What is queued of the stream is sent before that frame, so it counts as sent.
 func (s *http2Protocol) cancel(execution *gatekeeper.Execution) (progress gatekeeper.SendProgress, err error) {
 	s.session.EachStream(func(st *h2.Stream) {
 		if st.Tag.(*streamExecution).execution == execution {
-			progress = streamProgress(st, s.conn.sentOffset())
+			progress = gatekeeper.SentAll
+			if st.EndOffset == 0 {
+				progress = gatekeeper.SentPart
+			}
 			s.session.CancelStream(st)
 		}
 	})
