--- a/internal/dataplane/proxy/mirror_delivery.go
+++ b/internal/dataplane/proxy/mirror_delivery.go
@@ -70,12 +70,17 @@
 		return false
 	}
 	s.counts.sent.Add(1)
-	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswerBytes)), nil)
+	limited := &io.LimitedReader{R: conn, N: maxAnswerBytes}
+	response, err := http.ReadResponse(bufio.NewReader(limited), nil)
 	if err != nil {
 		s.counts.hung.Add(1)
 		return false
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, err = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
+	if err != nil && limited.N > 0 { // the answer was broken off, and not just longer than what is read of it
+		s.counts.hung.Add(1)
+		return false
+	}
 	return true
 }
--- a/internal/dataplane/proxy/mirroring_test.go
+++ b/internal/dataplane/proxy/mirroring_test.go
@@ -401,3 +401,25 @@
 	counts := proxy.engineCounts()
 	assert.Equal(t, counts.Copied+counts.Lost, uint64(500), "%v", counts)
 }
+
+// TestBrokenAnswerOfTarget guards against counting a copy as answered whose target broke its answer off.
+func TestBrokenAnswerOfTarget(t *testing.T) {
+	proxy := newTestMirror(t)
+	target := startTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "less") // and the server closes the connection
+	})
+	proxy.receive(fullList(1, startWorker(t, "w", "a", replyWorkerID, nil)), newConfig(t, 1, []routeSpec{{prefix: "/", destination: "a", unsafe: true}}, tenantSpec{name: "ann"}))
+	proxy.setRule(target, longTimeout)
+	proxy.advance(15) // flows that may have begun before the collector are not mirrored
+	res, _ := proxy.do("POST", "/one", visitHeaders+"Authorization: Bearer k-ann\r\n", "uno")
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	proxy.advance(20)
+	var counts mirror.Counts
+	proxy.turnsUntil(func() bool {
+		counts = proxy.engineCounts()
+		return counts.CopiesAnswered+counts.CopiesFailed > 0
+	})
+	assert.Equal(t, counts.CopiesFailed, uint64(1))
+	assert.Equal(t, counts.CopiesAnswered, uint64(0))
+}
