Programs ask for their signals before other modules are initialized

Cause: signals were asked for in the command serve, behind the initialization of all packages.

Change: internal/processsignals asks for them as it is initialized, before the packages of other modules; only for the command serve, so that the operators' commands keep the default actions.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,10 +8,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -21,6 +19,7 @@
 	"foxwood/internal/control/routeconfig"
 	"foxwood/internal/dataplane/mirror"
 	"foxwood/internal/metrics"
+	"foxwood/internal/processsignals"
 	"foxwood/internal/rpc"
 	"foxwood/internal/rpc/api"
 )
@@ -78,7 +77,7 @@
 	metrics string
 }
 
-func (*serve) Name() string       { return "serve" }
+func (*serve) Name() string       { return processsignals.ServeCommand }
 func (c *serve) Synopsis() string { return c.program.Summary }
 func (c *serve) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.metrics, "metrics", "", "PORT/PATH at which to serve metrics; the settings file takes precedence")
@@ -95,9 +94,7 @@
 const settingsCheckInterval = 2 * time.Second
 
 func (c *serve) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	signals, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reload, syscall.SIGHUP)
+	signals, reload := processsignals.Receive()
 	if c.program.CheckFlags != nil {
 		if err := c.program.CheckFlags(); err != nil {
 			return fail(err)
