--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,7 +9,8 @@
 
 // cases are the cases by name. Each tells whether the rule was broken.
 var cases = map[string]func(recordPath string, trouble bool) (broken bool, err error){
-	"long-pause": longPause,
+	"long-pause":    longPause,
+	"short-answers": shortAnswers,
 }
 
 func main() {
